--- /dev/null
+++ b/balance/api.go
@@ -0,0 +1,163 @@
+// Package balance decides, for one instance of the load balancer, what happens to every request.
+//
+// This file is the interface: settings, events and actions. All decisions are in balance.go.
+// A front feeds events to a Balancer and carries out the actions it returns; the package does no
+// I/O, reads no clock and knows no protocol, so any front can stand before the same decisions.
+package balance
+
+// Millis is a time or a span in milliseconds. Times are those of the front's clock.
+type Millis = float64
+
+// RequestID names a request for as long as the front knows it.
+type RequestID uint32
+
+// UpstreamID names an upstream; a restarted process keeps its id.
+type UpstreamID uint32
+
+// Effect says whether a request may run more than once.
+type Effect uint8
+
+// The effects.
+const (
+	Safe   Effect = iota // may run any number of times
+	Keyed                // repeats are dropped within a group of upstreams, for a while
+	Unsafe               // must never run twice
+)
+
+// Group is the set of upstreams that drop each other's repeats of a keyed request.
+type Group uint8
+
+// The groups.
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// Class is one class of requests.
+type Class struct {
+	Aim      Millis // an answer within this time earns the worth
+	Deadline Millis // all the time a client has, over all of its tries
+	Worth    float64
+	Late     float64 // share of the worth that an answer between aim and deadline earns
+	Effect   Effect
+	Group    Group  // for Keyed
+	Window   Millis // for Keyed: how long repeats are dropped
+	Stream   bool   // the answer is a stream, announced by EventStream
+}
+
+// Config holds the settings an instance gets at its start.
+type Config struct {
+	Replicas       int // instances like this one, itself included
+	Stage          int // the tier this instance sends to, 0 being the first
+	Zone           uint16
+	Classes        []Class
+	TenantQuota    []float64 // requests a second over all replicas, by tenant; 0 is no limit
+	OverShareWorth float64   // share of its worth that a request beyond the quota keeps
+	Ask            bool      // news of upstreams comes only after ActTrack
+	Tick           Millis    // the least time between two batches of events
+	StartCapacity  float64   // an upstream starts with at least this share of its capacity
+	ColdFor        Millis    // and is warm after this time at the latest
+	FallMultiple   float64   // it falls over when sent more than this multiple of its capacity
+	FallFor        Millis    // for this long
+	MaxAttempts    int
+	CanCancel      bool
+	SecondCopies   bool   // two attempts of a request may be out at once
+	MaxRetryAfter  Millis // longest advice a client follows; 0: no advice is passed on
+	LatencyColumn  int    // place of the service time in load reports, -1 if absent
+}
+
+// State is an upstream's state in the list.
+type State uint8
+
+// The states.
+const (
+	Gone State = iota
+	Ready
+	Draining
+)
+
+// Entry is one line of the list of upstreams.
+type Entry struct {
+	ID      UpstreamID
+	Zone    uint16
+	Cell    uint16
+	State   State
+	Started Millis // 0: long ago
+}
+
+// Outcome is how an attempt ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	OK            Outcome = iota
+	Errored               // may have run
+	Full                  // turned away unseen
+	TimedOut              // may have run, or still run
+	ConnectFailed         // never ran
+	Reset                 // may have run
+	Cancelled             // may have run
+	Moot                  // was not sent
+)
+
+// NeverRan reports whether the outcome proves that the attempt did not run.
+func (o Outcome) NeverRan() bool { return o == Full || o == ConnectFailed || o == Moot }
+
+// EventKind tells what an Event is about.
+type EventKind uint8
+
+// The events, each with the fields it fills.
+const (
+	EventRequest    EventKind = iota // Request, Class, Tenant, ExpiresIn, ClientRetry
+	EventOutcome                     // Request, Attempt, Upstream, Outcome, Spent, Done, Report
+	EventStream                      // Request, Attempt, Upstream, Spent
+	EventLeft                        // Request: the client has gone, nothing is owed any more
+	EventTimer                       // Cookie
+	EventListDelta                   // List: the changed entries
+	EventListFull                    // List: all entries; what is missing is gone
+	EventListFailed                  // an ActTrack failed
+)
+
+// Event is something an instance is told.
+type Event struct {
+	Kind        EventKind
+	Class       uint8
+	Outcome     Outcome
+	Done        bool // the request is concluded
+	ClientRetry bool
+	Tenant      uint16
+	Attempt     int
+	Request     RequestID
+	Upstream    UpstreamID
+	ExpiresIn   Millis // time until the client gives this try up
+	Spent       Millis // time since the attempt was sent
+	Cookie      uint64
+	Report      []float32 // load report; empty if none came
+	List        []Entry
+}
+
+// ActionKind tells what an Action does.
+type ActionKind uint8
+
+// The actions, each with the fields it uses.
+const (
+	ActSend   ActionKind = iota // Request, Upstream, After: the attempt's time-out
+	ActRefuse                   // Request, After: advice when to come back, 0 for none
+	ActFail                     // Request
+	ActCancel                   // Request, Attempt
+	ActTimer                    // After, Cookie
+	ActTrack                    // subscribe to the list
+	ActLog                      // Text
+)
+
+// Action is something an instance wants done.
+type Action struct {
+	Kind     ActionKind
+	Attempt  int
+	Request  RequestID
+	Upstream UpstreamID
+	After    Millis
+	Cookie   uint64
+	Text     string
+}
--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,729 @@
+// Module balance: all decisions of salttrack. Its types, events and actions are in api.go.
+//
+// The ordinary path of a request: throttle (may refuse it, lowest worth first), pick (zone group,
+// then two random choices by own in flight), send, outcome, perhaps a retry within the budget.
+// Everything else is an exception; docs/design.md says when each acts.
+
+package balance
+
+import (
+	"math"
+)
+
+const (
+	tickEvery   = 100.0 // ms between housekeeping rounds: a fifth of a bucket, fast against any aim in seconds
+	bucketFor   = 500.0 // ms a bucket of the window: the window slides in steps small against its length
+	buckets     = 12    // window of 6 s: long against a service time, short against a rise in load
+	minRequests = 20    // below this many finished requests a share of accepts means nothing
+	kFirst      = 1.5   // K at the first tier: shed there, before any work is done
+	kInner      = 3.0   // K further in: a refusal there wastes the work above it
+	easyShare   = 0.5   // an answer within this share of its aim counts as a whole accept, then ever less
+)
+
+// Events.
+
+const (
+	cookieTick  = 1 << 32 // smaller cookies are the ids of held requests
+	cookieTrack = 2 << 32
+)
+
+// Handle takes in one event at the given time.
+func (b *Balancer) Handle(now Millis, e *Event) {
+	b.now = now
+	for now >= b.slotEnd {
+		b.slide()
+	}
+	switch e.Kind {
+	case EventRequest:
+		b.onRequest(e)
+	case EventOutcome:
+		b.onOutcome(e)
+	case EventStream:
+		b.onStream(e)
+	case EventLeft:
+		if r := b.reqs[e.Request]; r != nil && !r.done {
+			b.conclude(r)
+		}
+	case EventTimer:
+		b.onTimer(e.Cookie)
+	case EventListDelta, EventListFull:
+		b.onList(e.List, e.Kind == EventListFull)
+	case EventListFailed:
+		if b.cfg.Ask { // ask again, ever more slowly: the list service may be short of capacity
+			b.act(Action{Kind: ActTimer, After: b.askDelay * (0.5 + b.rng.Float64()), Cookie: cookieTrack})
+			b.askDelay = min(2*b.askDelay, 16000)
+		}
+	}
+	b.release()
+}
+
+func (b *Balancer) onRequest(e *Event) {
+	if b.reqs[e.Request] != nil || int(e.Class) >= len(b.cfg.Classes) {
+		return
+	}
+	r := b.newRequest(e)
+	switch {
+	case b.throttled(r):
+		b.refuse(r)
+	case b.room():
+		b.sendOrGiveUp(r)
+	default:
+		b.hold(r)
+	}
+}
+
+func (b *Balancer) newRequest(e *Event) *request {
+	r := &request{}
+	if n := len(b.free); n > 0 {
+		r, b.free = b.free[n-1], b.free[:n-1]
+	}
+	c := &b.cfg.Classes[e.Class]
+	*r = request{id: e.Request, class: e.Class, arrived: b.now, expires: b.now + e.ExpiresIn,
+		worth: c.Worth * b.tenantShare(int(e.Tenant)), attempts: r.attempts[:0], mayRun: -1}
+	r.until = b.usefulUntil(r, c)
+	b.reqs[r.id] = r
+	b.open = append(b.open, r)
+	return r
+}
+
+func (b *Balancer) onOutcome(e *Event) {
+	r := b.reqs[e.Request]
+	if r == nil || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].over {
+		return
+	}
+	a := &r.attempts[e.Attempt]
+	a.over = true
+	r.out--
+	b.inflight--
+	a.up.inflight--
+	wasDone := r.done
+	b.judge(r, a, e)
+	if !wasDone {
+		b.tally(r, a, e)
+	}
+	if e.Outcome.NeverRan() && r.mayRun == e.Attempt {
+		r.mayRun = -1
+	}
+	switch {
+	case e.Done && !wasDone:
+		b.conclude(r)
+	case !r.done && r.out == 0:
+		b.retryOrGiveUp(r, a)
+	}
+	if r.done && r.out == 0 {
+		delete(b.reqs, r.id)
+	}
+}
+
+func (b *Balancer) onStream(e *Event) {
+	if r := b.reqs[e.Request]; r != nil && e.Attempt < len(r.attempts) {
+		a := &r.attempts[e.Attempt]
+		b.judge(r, a, &Event{Outcome: OK, Spent: e.Spent})
+		if !r.done {
+			b.tally(r, a, &Event{Outcome: OK, Spent: e.Spent})
+			b.conclude(r)
+		}
+	}
+}
+
+func (b *Balancer) onTimer(cookie uint64) {
+	switch {
+	case cookie == cookieTick:
+		b.tick()
+		b.act(Action{Kind: ActTimer, After: tickEvery, Cookie: cookieTick})
+	case cookie == cookieTrack:
+		b.act(Action{Kind: ActTrack})
+	default:
+		if r := b.reqs[RequestID(cookie)]; r != nil && r.held && cookie < cookieTick {
+			b.refuse(r)
+		}
+	}
+}
+
+// conclude notes that a request has its final answer, or needs none. Attempts still out are called
+// off where that is allowed: nobody waits for them.
+func (b *Balancer) conclude(r *request) {
+	r.done = true
+	b.unhold(r)
+	for i := range r.attempts {
+		if a := &r.attempts[i]; !a.over && b.cfg.CanCancel && !b.cfg.Classes[r.class].Stream {
+			b.act(Action{Kind: ActCancel, Request: r.id, Attempt: i})
+		}
+	}
+	if r.out == 0 {
+		delete(b.reqs, r.id)
+	}
+}
+
+// refuse turns a request away before anything ran: it counts as asked for and not accepted at once.
+func (b *Balancer) refuse(r *request) {
+	b.record(r.class, 0)
+	b.giveUp(r)
+}
+
+// giveUp gives the final answer to a request that will not be served: a refusal where trying again is
+// harmless and can still be of use, else a failure.
+func (b *Balancer) giveUp(r *request) {
+	c := &b.cfg.Classes[r.class]
+	harmless := r.mayRun < 0 || c.Effect == Safe || c.Effect == Keyed && c.Group == GroupAll
+	if harmless && (r.mayRun < 0 || b.now < r.until) {
+		after := 0.0
+		if b.cfg.MaxRetryAfter > 0 { // back when the window has moved on, yet while an answer still counts
+			after = min(b.cfg.MaxRetryAfter, c.Aim/2)
+		}
+		b.act(Action{Kind: ActRefuse, Request: r.id, After: after})
+	} else {
+		b.act(Action{Kind: ActFail, Request: r.id})
+	}
+	b.conclude(r)
+}
+
+// tick is the housekeeping round.
+func (b *Balancer) tick() {
+	kept := b.open[:0]
+	for _, r := range b.open {
+		if r.done && r.out == 0 {
+			b.free = append(b.free, r)
+		} else {
+			kept = append(kept, r)
+		}
+	}
+	clear(b.open[len(kept):])
+	b.open = kept
+	dt := b.now - b.lastTick
+	b.lastTick = b.now
+	b.refillTenants(dt)
+	b.checkHealth()
+	b.warmUp(dt)
+	if b.now >= b.nextEase {
+		b.adjustLimit()
+	}
+	if b.now >= b.nextZone {
+		b.adjustSpill()
+	}
+}
+
+// Throttle.
+
+// throttled decides whether to refuse a new request. The design's formula gives the share of all
+// requests to refuse; that volume is taken from the lowest worth up.
+func (b *Balancer) throttled(r *request) bool {
+	if b.total.requests < minRequests {
+		return false
+	}
+	k := kFirst
+	if b.cfg.Stage > 0 {
+		k = kInner
+	}
+	p := (b.total.requests - k*b.total.accepts) / (b.total.requests + 1)
+	if p <= 0 {
+		return false
+	}
+	var below, equal float64
+	for i := range b.sum {
+		switch w := b.cfg.Classes[i].Worth; {
+		case w < r.worth:
+			below += b.sum[i].requests
+		case w == r.worth:
+			equal += b.sum[i].requests
+		}
+	}
+	return b.rng.Float64()*max(equal, 1) < p*b.total.requests-below
+}
+
+// tally counts the outcome of an attempt.
+func (b *Balancer) tally(r *request, a *attempt, e *Event) {
+	if e.Outcome == Moot || e.Outcome == Cancelled && !a.gave {
+		return
+	}
+	accept := 0.0
+	if e.Outcome == OK {
+		accept = b.ease1(r)
+		if b.cfg.Stage > 0 { // further in the aim is not known
+			accept = 1
+		}
+	}
+	// An attempt that began nearly spent says nothing of the fleet.
+	if accept == 0 && r.until-a.sent < b.usual[r.class].value {
+		return
+	}
+	b.record(r.class, accept)
+	if e.Outcome == OK || e.Outcome == TimedOut || e.Outcome == Full {
+		b.ease.requests++
+		b.ease.accepts += accept
+	}
+}
+
+// ease1 is how far an answer now counts as an accept: late ones count nothing, and those close to
+// late count in part, since the queue they came from makes the next ones late.
+func (b *Balancer) ease1(r *request) float64 {
+	aim := b.cfg.Classes[r.class].Aim
+	return min(1, max(0, (r.arrived+aim-b.now)/(aim*(1-easyShare))))
+}
+
+// tenantShare is the share of its worth that a tenant's next request keeps.
+func (b *Balancer) tenantShare(t int) float64 {
+	if t >= len(b.tenants) || b.cfg.TenantQuota[t] <= 0 {
+		return 1
+	}
+	if b.tenants[t] < 1 {
+		return b.cfg.OverShareWorth
+	}
+	b.tenants[t]--
+	return 1
+}
+
+// refillTenants lets each tenant's tokens grow to at most one second's worth.
+func (b *Balancer) refillTenants(dt Millis) {
+	for i := range b.tenants {
+		rate := b.cfg.TenantQuota[i] / float64(max(1, b.cfg.Replicas))
+		b.tenants[i] = min(max(1, rate), b.tenants[i]+rate*dt/1000)
+	}
+}
+
+// Hold: at the first tier, a short wait under an in-flight limit learned from own outcomes.
+
+const (
+	easeEvery = 1000.0 // ms between steps of the limit: long enough for some tens of outcomes
+	easeMin   = 8      // outcomes needed for a step
+	easeLow   = 0.80   // mean accept below which the limit falls: queues are eating the aims
+	easeHigh  = 0.90   // mean accept above which it may rise
+	limitDown = 0.85   // a step down undoes a few steps up
+	limitUp   = 1.06
+	holdShare = 0.2 // longest hold, as a share of the aim: waits should mostly end in an answer
+)
+
+// room reports whether a request may be sent now.
+func (b *Balancer) room() bool {
+	return float64(b.inflight) < max(1, b.limit*b.weight())
+}
+
+// weight is what the usable upstreams can take, in units of one warm upstream.
+func (b *Balancer) weight() float64 {
+	w := 0.0
+	for _, u := range b.list {
+		if u.usable(b) {
+			w += b.warmth(u)
+		}
+	}
+	return w
+}
+
+// hold keeps a request back until there is room, or refuses it at once if as many wait already as
+// may be in flight. The lowest worth is last in the queue and the first to be refused.
+func (b *Balancer) hold(r *request) {
+	b.bound = true
+	i := len(b.queue)
+	for i > 0 && b.queue[i-1].worth < r.worth {
+		i--
+	}
+	b.queue = append(b.queue, nil)
+	copy(b.queue[i+1:], b.queue[i:])
+	b.queue[i] = r
+	r.held = true
+	if last := b.queue[len(b.queue)-1]; float64(len(b.queue)) > max(1, b.limit*b.weight()) {
+		b.refuse(last)
+		if last == r {
+			return
+		}
+	}
+	wait := min(b.cfg.Classes[r.class].Aim*holdShare, (r.expires-b.now)/2)
+	b.act(Action{Kind: ActTimer, After: wait, Cookie: uint64(r.id)})
+}
+
+func (b *Balancer) unhold(r *request) {
+	if !r.held {
+		return
+	}
+	r.held = false
+	for i, q := range b.queue {
+		if q == r {
+			b.queue = append(b.queue[:i], b.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// release sends what is held while there is room.
+func (b *Balancer) release() {
+	for len(b.queue) > 0 && b.room() {
+		r := b.queue[0]
+		b.unhold(r)
+		b.sendOrGiveUp(r)
+	}
+}
+
+// adjustLimit moves the in-flight limit by the mean accept of the last interval.
+func (b *Balancer) adjustLimit() {
+	b.nextEase = b.now + easeEvery
+	if b.ease.requests < easeMin || b.cfg.Stage > 0 {
+		return
+	}
+	switch mean := b.ease.accepts / b.ease.requests; {
+	case mean < easeLow:
+		now := float64(b.inflight) / max(1, b.weight())
+		b.limit = max(0.25, limitDown*min(b.limit, now+1))
+	case mean > easeHigh && b.bound:
+		b.limit = b.limit*limitUp + 0.02
+	case mean > easeHigh:
+		b.limit *= 1.02
+	}
+	b.ease, b.bound = count{}, false
+}
+
+// Pick: own zone first, trial shares, spill; two random choices inside.
+
+const (
+	trialShare = 0.02   // of traffic goes to the group out of favour, to learn how it fares
+	zoneEvery  = 1000.0 // ms between steps of the spill
+	zoneMin    = 10     // outcomes of a group needed to compare it
+	spillStep  = 0.1    // small enough that copies moving together do not overrun the other zone
+	slowerBy   = 1.25   // own zone slower than others by this much: spill
+	servedBy   = 0.9    // own zone's served share below this much of the others': spill
+)
+
+func (b *Balancer) group(u *upstream) int {
+	if u.zone == b.cfg.Zone {
+		return 0
+	}
+	return 1
+}
+
+// adjustSpill moves the share of traffic that goes to other zones by one step.
+func (b *Balancer) adjustSpill() {
+	b.nextZone = b.now + zoneEvery
+	own, other := &b.zones[0], &b.zones[1]
+	if other.served.n < 2 || own.served.n < zoneMin {
+		return
+	}
+	if own.stretch.value > slowerBy*other.stretch.value || own.served.value < servedBy*other.served.value {
+		b.spill = min(1-trialShare, b.spill+spillStep)
+	} else {
+		b.spill = max(0, b.spill-spillStep)
+	}
+}
+
+// pick chooses an upstream for a request, or nil if none may be used.
+func (b *Balancer) pick(r *request) *upstream {
+	first := 0
+	if b.rng.Float64() < max(trialShare, b.spill) {
+		first = 1
+	}
+	for _, g := range [...]int{first, 1 - first} {
+		if u := b.twoChoices(r, g, (*upstream).usable); u != nil {
+			return u
+		}
+	}
+	for _, g := range [...]int{0, 1} { // all look bad: then no upstream is the cause
+		if u := b.twoChoices(r, g, (*upstream).possible); u != nil {
+			return u
+		}
+	}
+	return nil
+}
+
+// twoChoices takes, of two random upstreams of a group, the one with less of this copy's in flight.
+func (b *Balancer) twoChoices(r *request, group int, ok func(*upstream, *Balancer) bool) *upstream {
+	b.cand = b.cand[:0]
+	for _, u := range b.list {
+		if b.group(u) == group && ok(u, b) && !r.tried(u) && b.mayRepeat(r, u) && b.coldAllows(u) {
+			b.cand = append(b.cand, u)
+		}
+	}
+	n := len(b.cand)
+	if n < 2 {
+		if n == 0 {
+			return nil
+		}
+		return b.cand[0]
+	}
+	i := b.rng.IntN(n)
+	j := b.rng.IntN(n - 1)
+	if j >= i {
+		j++
+	}
+	x, y := b.cand[i], b.cand[j]
+	if b.load(y) < b.load(x) {
+		return y
+	}
+	return x
+}
+
+// load is what two choices compare: own in flight, weighed only for upstreams that are cold or stand
+// out as slow.
+func (b *Balancer) load(u *upstream) float64 {
+	return float64(u.inflight+1) * u.slow / b.warmth(u)
+}
+
+// sendOrGiveUp sends the next attempt of a request, or gives it up if nothing can take it.
+func (b *Balancer) sendOrGiveUp(r *request) {
+	u := b.pick(r)
+	if u == nil {
+		if len(r.attempts) == 0 {
+			b.refuse(r)
+		} else {
+			b.giveUp(r)
+		}
+		return
+	}
+	after := 0.0
+	if r.until < r.expires {
+		after = max(b.cfg.Tick, r.until-b.now)
+	}
+	if len(r.attempts) > 0 {
+		b.retried[b.slot]++
+		b.retries++
+	}
+	r.attempts = append(r.attempts, attempt{up: u, sent: b.now})
+	r.out++
+	if r.mayRun < 0 {
+		r.mayRun = len(r.attempts) - 1
+	}
+	b.inflight++
+	u.inflight++
+	u.sends++
+	u.tokens--
+	b.act(Action{Kind: ActSend, Request: r.id, Upstream: u.id, After: after})
+}
+
+// Health.
+
+const (
+	failsToEject = 3      // failures in a row
+	ejectFor     = 2000.0 // ms of the first ejection; doubles up to ejectMost
+	ejectMost    = 16000.0
+	badShare     = 0.5 // of the upstreams at most may be left out; if more look bad, they are not the cause
+	hangTimes    = 4.0 // an attempt out for this many usual service times, with nothing answered since, is a hang
+	hangLeast    = 300.0
+	slowTimes    = 2.0 // service time against the fleet's from which an upstream counts as slow
+	slowMin      = 8   // own outcomes needed to call it slow
+	slowFade     = 0.01
+)
+
+// possible reports whether anything may be sent to the upstream at all.
+func (u *upstream) possible(b *Balancer) bool { return u.State == Ready }
+
+// usable reports whether the upstream is to be used on the ordinary path.
+func (u *upstream) usable(b *Balancer) bool {
+	return u.State == Ready && !u.hung && b.now >= u.ejected && !(u.trial && u.inflight > 0)
+}
+
+// judge takes from an outcome what it says of its upstream, its class and its zone.
+func (b *Balancer) judge(r *request, a *attempt, e *Event) {
+	u := a.up
+	if c := b.cfg.LatencyColumn; c >= 0 && c < len(e.Report) {
+		u.reported = float64(e.Report[c])
+	}
+	z := &b.zones[b.group(u)]
+	switch e.Outcome {
+	case OK:
+		u.fails, u.hung, u.trial, u.backoff, u.answered = 0, false, false, 0, b.now
+		b.lastOK = b.now
+		usual := &b.usual[r.class]
+		usual.add(e.Spent, 0.02)
+		b.service.add(e.Spent, 0.02)
+		stretch := min(8, e.Spent/max(1, usual.value))
+		u.stretch.add(stretch, 0.1)
+		z.stretch.add(stretch, 0.05)
+		z.served.add(1, 0.05)
+	case Full:
+		u.answered, u.hung = b.now, false
+		z.served.add(0, 0.05)
+	case Errored, ConnectFailed, Reset, TimedOut:
+		z.served.add(0, 0.05)
+		if e.Outcome != TimedOut || e.Spent > hangTimes*b.service.value {
+			u.fails++
+		}
+		if u.fails >= failsToEject || u.trial || u.fails >= 2 && e.Outcome == ConnectFailed {
+			b.eject(u)
+		}
+	}
+}
+
+// eject leaves an upstream out for a while, unless too many are out already.
+func (b *Balancer) eject(u *upstream) {
+	if !b.mayLeaveOut() {
+		return
+	}
+	u.backoff = min(ejectMost, max(ejectFor, 2*u.backoff))
+	u.ejected = b.now + u.backoff*(0.75+b.rng.Float64()/2)
+	u.trial = true
+	u.fails = 0
+}
+
+// mayLeaveOut reports whether one more upstream may be left out.
+func (b *Balancer) mayLeaveOut() bool {
+	ready, out := 0, 0
+	for _, u := range b.list {
+		if u.State == Ready {
+			ready++
+			if u.hung || b.now < u.ejected {
+				out++
+			}
+		}
+	}
+	return float64(out+1) <= badShare*float64(ready)
+}
+
+// checkHealth looks for hangs, before any outcome shows them, and for upstreams that stand out as slow.
+func (b *Balancer) checkHealth() {
+	after := max(hangLeast, hangTimes*b.service.value)
+	if b.now-b.lastOK > after/2 { // nobody answers: not one upstream's fault
+		after = math.Inf(1)
+	}
+	for _, r := range b.open {
+		for i := range r.attempts {
+			a := &r.attempts[i]
+			if a.over || b.now-a.sent < after || a.up.answered >= a.sent {
+				continue
+			}
+			if !a.up.hung && (a.up.inflight > 1 || b.now-a.sent > 2*after) && b.mayLeaveOut() {
+				a.up.hung = true
+			}
+			if a.up.hung && !a.gave && !r.done && b.cfg.CanCancel && b.mayRetry(r, a) {
+				a.gave = true
+				b.act(Action{Kind: ActCancel, Request: r.id, Attempt: i})
+			}
+		}
+	}
+	reported, n := 0.0, 0.0
+	for _, u := range b.list {
+		if u.State == Ready && u.reported > 0 {
+			reported, n = reported+math.Log(u.reported), n+1
+		}
+	}
+	for _, u := range b.list {
+		u.stretch.fade(1, slowFade)
+		if u.hung && u.inflight == 0 { // all its attempts have ended without an answer: try again later
+			u.hung = false
+			b.eject(u)
+		}
+		u.slow = 1
+		if u.stretch.n >= slowMin && u.stretch.value > slowTimes {
+			u.slow = u.stretch.value
+		}
+		if n > 2 && u.reported > slowTimes*math.Exp(reported/n) {
+			u.slow = max(u.slow, u.reported/math.Exp(reported/n))
+		}
+	}
+}
+
+// onList takes in news of the upstreams. Nothing new goes to one that is draining or gone, at once.
+func (b *Balancer) onList(list []Entry, full bool) {
+	b.askDelay = 1000
+	if full {
+		for _, u := range b.list {
+			u.State = Gone
+		}
+	}
+	for _, e := range list {
+		u := b.ups[e.ID]
+		if u == nil {
+			if e.State == Gone {
+				continue
+			}
+			u = &upstream{id: e.ID, slow: 1, tokens: b.rng.Float64()}
+			b.ups[e.ID] = u
+			b.list = append(b.list, u)
+		} else if e.Started > u.Started { // a new process under the old id
+			*u = upstream{id: u.id, slow: 1, inflight: u.inflight, tokens: b.rng.Float64()}
+		}
+		u.Entry, u.zone = e, e.Zone
+	}
+	kept := b.list[:0]
+	for _, u := range b.list {
+		if u.State == Gone && u.inflight == 0 {
+			delete(b.ups, u.id)
+		} else {
+			kept = append(kept, u)
+		}
+	}
+	clear(b.list[len(kept):])
+	b.list = kept
+}
+
+// Retry.
+
+const (
+	retryShare = 0.1 // of recent requests may be retries
+	maxTries   = 3   // of one request
+)
+
+// retryOrGiveUp decides what becomes of a request whose last attempt out ended without an answer.
+func (b *Balancer) retryOrGiveUp(r *request, a *attempt) {
+	if b.mayRetry(r, a) {
+		b.sendOrGiveUp(r)
+	} else {
+		b.giveUp(r)
+	}
+}
+
+// mayRetry reports whether another attempt of a request is allowed and of use.
+func (b *Balancer) mayRetry(r *request, a *attempt) bool {
+	if len(r.attempts) >= min(maxTries, b.cfg.MaxAttempts) || b.retries+1 > retryShare*b.total.requests {
+		return false
+	}
+	if r.mayRun >= 0 && b.cfg.Classes[r.class].Effect == Unsafe {
+		return false
+	}
+	return r.until-b.now > b.usual[r.class].value/2 && r.until-b.now > 2*b.cfg.Tick
+}
+
+// mayRepeat reports whether the rule on effects lets the request go to this upstream: a keyed request
+// that may have run goes only to the group that drops its repeats, and while that remembers it.
+func (b *Balancer) mayRepeat(r *request, u *upstream) bool {
+	c := &b.cfg.Classes[r.class]
+	if r.mayRun < 0 || c.Effect == Safe {
+		return true
+	}
+	if c.Effect == Unsafe || b.now-r.attempts[r.mayRun].sent >= c.Window {
+		return false
+	}
+	was := r.attempts[r.mayRun].up
+	return c.Group == GroupAll || was.zone == u.zone && (c.Group == GroupZone || was.Cell == u.Cell)
+}
+
+// Cold.
+
+// warmth is the share of its capacity that an upstream has at the least.
+func (b *Balancer) warmth(u *upstream) float64 {
+	age := b.now - u.Started
+	if u.Started == 0 || age >= b.cfg.ColdFor {
+		return 1
+	}
+	return max(0.01, b.cfg.StartCapacity+(1-b.cfg.StartCapacity)*max(0, age)/b.cfg.ColdFor)
+}
+
+// coldAllows reports whether a cold upstream has budget for one more send. Each copy sends it no more
+// than the warm share of what it sends a warm one, so all copies together keep far under the multiple.
+func (b *Balancer) coldAllows(u *upstream) bool { return u.tokens >= 1 || b.warmth(u) == 1 }
+
+// warmUp measures what a warm upstream gets, and refills the budgets of the cold ones by it. Nothing
+// is saved up beyond one send. Without any measure all copies together send one in FallFor.
+func (b *Balancer) warmUp(dt Millis) {
+	sends, n := 0.0, 0.0
+	for _, u := range b.list {
+		if u.usable(b) && b.warmth(u) == 1 {
+			sends, n = sends+u.sends, n+1
+		}
+		u.sends = 0
+	}
+	if n > 0 && dt > 0 {
+		b.warmRate += (sends/n/dt - b.warmRate) * min(1, dt/2000)
+	}
+	rate := max(b.warmRate, 1/(max(1, b.cfg.FallFor)*float64(max(1, b.cfg.Replicas))))
+	for _, u := range b.list {
+		u.tokens = min(1, u.tokens+dt*rate*b.warmth(u))
+	}
+}
+
+// Deadlines.
+
+// usefulUntil is the time after which an answer is worth nothing: the aim, where it is known and a late
+// answer earns nothing, and in any case the time at which the client gives up.
+func (b *Balancer) usefulUntil(r *request, c *Class) Millis {
+	if b.cfg.Stage > 0 || c.Late > 0 || c.Stream {
+		return r.expires
+	}
+	return min(r.expires, r.arrived+c.Aim-2*b.cfg.Tick)
+}
--- /dev/null
+++ b/balance/state.go
@@ -0,0 +1,181 @@
+package balance
+
+// The state an instance keeps, and its bookkeeping. No decision is made here: those are in balance.go.
+
+import (
+	"math"
+	"math/rand/v2"
+)
+
+// request is one request this instance has taken, until its last attempt has ended.
+type request struct {
+	id       RequestID
+	class    uint8
+	done     bool // concluded: nothing may go out for it any more
+	held     bool
+	worth    float64
+	arrived  Millis
+	until    Millis // after this an answer is worth nothing, or nobody waits for it
+	expires  Millis // the client gives up
+	attempts []attempt
+	out      int // attempts without an outcome
+	mayRun   int // number of the first attempt not known never to have run, -1 if none
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	up   *upstream
+	sent Millis
+	over bool
+	gave bool // cancelled by health, to be tried elsewhere
+}
+
+// count is what finished in one bucket of the window.
+type count struct {
+	requests float64
+	accepts  float64
+}
+
+// Balancer is one instance.
+type Balancer struct {
+	cfg     Config
+	now     Millis
+	rng     *rand.Rand
+	actions []Action
+
+	reqs map[RequestID]*request
+	open []*request // in order of arrival, for housekeeping; finished ones are dropped at ticks
+	free []*request
+	ups  map[UpstreamID]*upstream
+	list []*upstream // in order of first mention
+	cand []*upstream // scratch of pick
+
+	window  [buckets][]count // by class
+	sum     []count          // by class, over the window
+	total   count
+	retried [buckets]float64
+	retries float64
+	slot    int
+	slotEnd Millis
+
+	tenants []float64 // quota tokens by tenant
+	usual   []mean    // service time by class
+	service mean      // service time over all classes
+
+	queue    []*request // held, highest worth first
+	inflight int
+	limit    float64 // in flight per unit of upstream weight; see hold
+	ease     count   // of the control interval
+	bound    bool    // the limit held something back in this interval
+	nextEase Millis
+
+	spill    float64 // share of traffic moved to other zones
+	zones    [2]zoneView
+	nextZone Millis
+
+	warmRate float64 // own sends a second to one warm upstream
+	lastTick Millis
+	lastOK   Millis
+	askDelay Millis
+}
+
+// New returns an instance that has just started.
+func New(cfg Config, seed uint64, now Millis) *Balancer {
+	b := &Balancer{cfg: cfg, now: now, rng: rand.New(rand.NewPCG(seed, 0x5a17)), limit: math.Inf(1),
+		reqs: map[RequestID]*request{}, ups: map[UpstreamID]*upstream{}, sum: make([]count, len(cfg.Classes)),
+		usual: make([]mean, len(cfg.Classes)), slotEnd: now + bucketFor, nextEase: now + easeEvery,
+		nextZone: now + zoneEvery, lastTick: now, lastOK: now, askDelay: 1000}
+	for i := range b.window {
+		b.window[i] = make([]count, len(cfg.Classes))
+	}
+	for _, q := range cfg.TenantQuota {
+		b.tenants = append(b.tenants, q/float64(max(1, cfg.Replicas)))
+	}
+	if cfg.Ask {
+		b.act(Action{Kind: ActTrack})
+	}
+	b.act(Action{Kind: ActTimer, After: tickEvery, Cookie: cookieTick})
+	return b
+}
+
+// Actions returns what is to be done, in order, and forgets it. The slice holds until the next event.
+func (b *Balancer) Actions() []Action {
+	a := b.actions
+	b.actions = b.actions[:0]
+	return a
+}
+
+func (b *Balancer) act(a Action) { b.actions = append(b.actions, a) }
+
+// record enters one finished request.
+func (b *Balancer) record(class uint8, accept float64) {
+	w := &b.window[b.slot][class]
+	for _, c := range [...]*count{w, &b.sum[class], &b.total} {
+		c.requests++
+		c.accepts += accept
+	}
+}
+
+// slide forgets the oldest bucket of the window.
+func (b *Balancer) slide() {
+	b.slotEnd += bucketFor
+	b.slot = (b.slot + 1) % buckets
+	b.retries -= b.retried[b.slot]
+	b.retried[b.slot] = 0
+	b.total = count{}
+	for i := range b.sum {
+		w := &b.window[b.slot][i]
+		b.sum[i].requests -= w.requests
+		b.sum[i].accepts = max(0, b.sum[i].accepts-w.accepts)
+		*w = count{}
+		b.total.requests += b.sum[i].requests
+		b.total.accepts += b.sum[i].accepts
+	}
+}
+
+// upstream is one upstream as this instance sees it.
+type upstream struct {
+	Entry
+	id       UpstreamID
+	zone     uint16
+	inflight int
+	sends    float64 // since the last tick
+	tokens   float64 // sends allowed while cold
+	fails    int     // in a row
+	ejected  Millis  // until then
+	backoff  Millis
+	trial    bool // back from an ejection, not yet proven
+	hung     bool
+	answered Millis
+	stretch  mean    // own service times against the class's usual
+	reported float64 // service time it reports
+	slow     float64 // 1, or how many times slower than the fleet
+}
+
+// zoneView is how a zone group fares: 0 is the own zone, 1 all others.
+type zoneView struct {
+	stretch mean
+	served  mean
+}
+
+// mean is an average that forgets: exact over its first values, then exponential.
+type mean struct {
+	value float64
+	n     float64
+}
+
+func (m *mean) add(x, share float64) {
+	m.n++
+	m.value += (x - m.value) * max(share, 1/m.n)
+}
+
+// fade draws the average towards a value when nothing new is learned.
+func (m *mean) fade(to, share float64) { m.value += (to - m.value) * share * min(1, m.n) }
+func (r *request) tried(u *upstream) bool {
+	for i := range r.attempts {
+		if r.attempts[i].up == u {
+			return true
+		}
+	}
+	return false
+}
