--- a/balance/balance.go
+++ b/balance/balance.go
@@ -13,9 +13,9 @@
 const (
 	tickEvery   = 100.0 // ms between housekeeping rounds: a fifth of a bucket, fast against any aim in seconds
 	bucketFor   = 500.0 // ms a bucket of the window: the window slides in steps small against its length
-	buckets     = 12    // window of 6 s: long against a service time, short against a rise in load
+	buckets     = 6     // window of 3 s: long against a service time, and a swing is forgotten soon
 	minRequests = 20    // below this many finished requests a share of accepts means nothing
-	kFirst      = 1.5   // K at the first tier: shed there, before any work is done
+	kFirst      = 2.0   // K at the first tier, the chapter's: twice what is served keeps recovery quick
 	kInner      = 3.0   // K further in: a refusal there wastes the work above it
 	easyShare   = 0.5   // an answer within this share of its aim counts as a whole accept, then ever less
 )
@@ -195,9 +195,6 @@
 	b.refillTenants(dt)
 	b.checkHealth()
 	b.warmUp(dt)
-	if b.now >= b.nextEase {
-		b.adjustLimit()
-	}
 	if b.now >= b.nextZone {
 		b.adjustSpill()
 	}
@@ -238,7 +235,7 @@
 	}
 	accept := 0.0
 	if e.Outcome == OK {
-		accept = b.ease1(r)
+		accept = b.ease(r, r.arrived)
 		if b.cfg.Stage > 0 { // further in the aim is not known
 			accept = 1
 		}
@@ -248,17 +245,19 @@
 		return
 	}
 	b.record(r.class, accept)
-	if e.Outcome == OK || e.Outcome == TimedOut || e.Outcome == Full {
-		b.ease.requests++
-		b.ease.accepts += accept
+	switch e.Outcome {
+	case OK:
+		b.learnLimit(a.up, a, b.ease(r, a.sent))
+	case TimedOut, Full, Errored:
+		b.learnLimit(a.up, a, 0)
 	}
 }
 
-// ease1 is how far an answer now counts as an accept: late ones count nothing, and those close to
-// late count in part, since the queue they came from makes the next ones late.
-func (b *Balancer) ease1(r *request) float64 {
+// ease is how far an answer now to what began then counts as an accept: late ones count nothing, and
+// those close to late count in part, since the queue they came from makes the next ones late.
+func (b *Balancer) ease(r *request, began Millis) float64 {
 	aim := b.cfg.Classes[r.class].Aim
-	return min(1, max(0, (r.arrived+aim-b.now)/(aim*(1-easyShare))))
+	return min(1, max(0, (began+aim-b.now)/(aim*(1-easyShare))))
 }
 
 // tenantShare is the share of its worth that a tenant's next request keeps.
@@ -284,35 +283,32 @@
 // Hold: at the first tier, a short wait under an in-flight limit learned from own outcomes.
 
 const (
-	easeEvery = 1000.0 // ms between steps of the limit: long enough for some tens of outcomes
-	easeMin   = 8      // outcomes needed for a step
-	easeLow   = 0.80   // mean accept below which the limit falls: queues are eating the aims
-	easeHigh  = 0.90   // mean accept above which it may rise
-	limitDown = 0.85   // a step down undoes a few steps up
-	limitUp   = 1.06
-	holdShare = 0.2 // longest hold, as a share of the aim: waits should mostly end in an answer
+	easeWant   = 0.85 // mean accept at which a limit stays: below, queues are eating the aims
+	limitGain  = 0.5  // of the difference: a round trip of late answers halves a limit at most
+	limitStart = 2.0  // a limit before anything is known: two cores' worth of one copy alone
+	limitLeast = 0.3  // below one: pooled over the upstreams, copies share one attempt in flight
+	holdShare  = 0.2  // longest hold, as a share of the aim: waits should mostly end in an answer
 )
 
 // room reports whether a request may be sent now.
 func (b *Balancer) room() bool {
-	return float64(b.inflight) < max(1, b.limit*b.weight())
+	return b.cfg.Stage > 0 || float64(b.inflight) < b.capacity()
 }
 
-// weight is what the usable upstreams can take, in units of one warm upstream.
-func (b *Balancer) weight() float64 {
+// capacity is what the usable upstreams can take together, at least one attempt.
+func (b *Balancer) capacity() float64 {
 	w := 0.0
 	for _, u := range b.list {
 		if u.usable(b) {
-			w += b.warmth(u)
+			w += u.limit * b.warmth(u)
 		}
 	}
-	return w
+	return max(1, w)
 }
 
 // hold keeps a request back until there is room, or refuses it at once if as many wait already as
 // may be in flight. The lowest worth is last in the queue and the first to be refused.
 func (b *Balancer) hold(r *request) {
-	b.bound = true
 	i := len(b.queue)
 	for i > 0 && b.queue[i-1].worth < r.worth {
 		i--
@@ -321,7 +317,7 @@
 	copy(b.queue[i+1:], b.queue[i:])
 	b.queue[i] = r
 	r.held = true
-	if last := b.queue[len(b.queue)-1]; float64(len(b.queue)) > max(1, b.limit*b.weight()) {
+	if last := b.queue[len(b.queue)-1]; float64(len(b.queue)) > b.capacity() {
 		b.refuse(last)
 		if last == r {
 			return
@@ -353,22 +349,25 @@
 	}
 }
 
-// adjustLimit moves the in-flight limit by the mean accept of the last interval.
-func (b *Balancer) adjustLimit() {
-	b.nextEase = b.now + easeEvery
-	if b.ease.requests < easeMin || b.cfg.Stage > 0 {
-		return
-	}
-	switch mean := b.ease.accepts / b.ease.requests; {
-	case mean < easeLow:
-		now := float64(b.inflight) / max(1, b.weight())
-		b.limit = max(0.25, limitDown*min(b.limit, now+1))
-	case mean > easeHigh && b.bound:
-		b.limit = b.limit*limitUp + 0.02
-	case mean > easeHigh:
-		b.limit *= 1.02
+// learnLimit moves an upstream's in-flight limit by how one of its attempts ended: up while answers come
+// well within their aims and the limit is in use, down in proportion to how far they do not. A full limit's
+// worth of outcomes, one round trip, moves it by a bounded share. Until the first sign of a queue it
+// doubles each round trip, so that neither a day's nor a copy's start floods the fleet.
+func (b *Balancer) learnLimit(u *upstream, a *attempt, accept float64) {
+	step := limitGain * (accept - easeWant)
+	switch {
+	case step < 0:
+		if a.sent >= u.cut { // one that was sent before the last cut says nothing of what the cut did
+			u.limit = max(limitLeast, u.limit+step*max(1, u.limit/limitStart))
+			u.cut = b.now
+		}
+		u.grown = true
+	case float64(u.inflight+1) >= u.limit/2:
+		if !u.grown {
+			step = 1
+		}
+		u.limit += step
 	}
-	b.ease, b.bound = count{}, false
 }
 
 // Pick: own zone first, trial shares, spill; two random choices inside.
@@ -622,11 +621,11 @@
 			if e.State == Gone {
 				continue
 			}
-			u = &upstream{id: e.ID, slow: 1, tokens: b.rng.Float64()}
+			u = &upstream{id: e.ID, slow: 1, limit: limitStart, tokens: b.rng.Float64()}
 			b.ups[e.ID] = u
 			b.list = append(b.list, u)
 		} else if e.Started > u.Started { // a new process under the old id
-			*u = upstream{id: u.id, slow: 1, inflight: u.inflight, tokens: b.rng.Float64()}
+			*u = upstream{id: u.id, slow: 1, limit: limitStart, inflight: u.inflight, tokens: b.rng.Float64()}
 		}
 		u.Entry, u.zone = e, e.Zone
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -3,7 +3,6 @@
 // The state an instance keeps, and its bookkeeping. No decision is made here: those are in balance.go.
 
 import (
-	"math"
 	"math/rand/v2"
 )
 
@@ -64,10 +63,6 @@
 
 	queue    []*request // held, highest worth first
 	inflight int
-	limit    float64 // in flight per unit of upstream weight; see hold
-	ease     count   // of the control interval
-	bound    bool    // the limit held something back in this interval
-	nextEase Millis
 
 	spill    float64 // share of traffic moved to other zones
 	zones    [2]zoneView
@@ -81,10 +76,9 @@
 
 // New returns an instance that has just started.
 func New(cfg Config, seed uint64, now Millis) *Balancer {
-	b := &Balancer{cfg: cfg, now: now, rng: rand.New(rand.NewPCG(seed, 0x5a17)), limit: math.Inf(1),
+	b := &Balancer{cfg: cfg, now: now, rng: rand.New(rand.NewPCG(seed, 0x5a17)),
 		reqs: map[RequestID]*request{}, ups: map[UpstreamID]*upstream{}, sum: make([]count, len(cfg.Classes)),
-		usual: make([]mean, len(cfg.Classes)), slotEnd: now + bucketFor, nextEase: now + easeEvery,
-		nextZone: now + zoneEvery, lastTick: now, lastOK: now, askDelay: 1000}
+		usual: make([]mean, len(cfg.Classes)), slotEnd: now + bucketFor, nextZone: now + zoneEvery, lastTick: now, lastOK: now, askDelay: 1000}
 	for i := range b.window {
 		b.window[i] = make([]count, len(cfg.Classes))
 	}
@@ -140,6 +134,9 @@
 	zone     uint16
 	inflight int
 	sends    float64 // since the last tick
+	limit    float64 // attempts of this copy in flight that it answers well within their aims
+	cut      Millis  // when the limit last fell
+	grown    bool    // the limit has met its first sign of a queue
 	tokens   float64 // sends allowed while cold
 	fails    int     // in a row
 	ejected  Millis  // until then
