--- a/balance/balance.go
+++ b/balance/balance.go
@@ -429,6 +429,7 @@
 			b.cand = append(b.cand, u)
 		}
 	}
+	b.boundLoad()
 	n := len(b.cand)
 	if n < 2 {
 		if n == 0 {
@@ -448,6 +449,22 @@
 	return x
 }
 
+// boundLoad leaves among the candidates only those at or under their mean load. Two choices alone let the
+// fullest of a few upstreams run far above the mean, and one that is crowded gets less done.
+func (b *Balancer) boundLoad() {
+	sum := 0.0
+	for _, u := range b.cand {
+		sum += b.load(u)
+	}
+	mean, kept := sum/float64(len(b.cand)), b.cand[:0]
+	for _, u := range b.cand {
+		if b.load(u) <= mean*1.0001 {
+			kept = append(kept, u)
+		}
+	}
+	b.cand = kept
+}
+
 // load is what two choices compare: own in flight, weighed only for upstreams that are cold or stand
 // out as slow.
 func (b *Balancer) load(u *upstream) float64 {
