--- a/balance/balance.go
+++ b/balance/balance.go
@@ -94,7 +94,7 @@
 	a := &r.attempts[e.Attempt]
 	a.over = true
 	r.out--
-	b.inflight--
+	b.zones[b.group(a.up)].inflight--
 	a.up.inflight--
 	wasDone := r.done
 	b.judge(r, a, e)
@@ -195,6 +195,7 @@
 	b.refillTenants(dt)
 	b.checkHealth()
 	b.warmUp(dt)
+	b.weigh()
 	if b.now >= b.nextZone {
 		b.adjustSpill()
 	}
@@ -247,9 +248,9 @@
 	b.record(r.class, accept)
 	switch e.Outcome {
 	case OK:
-		b.learnLimit(a.up, a, b.ease(r, a.sent))
+		b.learnLimit(&b.zones[b.group(a.up)], b.ease(r, a.sent))
 	case TimedOut, Full, Errored:
-		b.learnLimit(a.up, a, 0)
+		b.learnLimit(&b.zones[b.group(a.up)], 0)
 	}
 }
 
@@ -291,19 +292,37 @@
 )
 
 // room reports whether a request may be sent now.
-func (b *Balancer) room() bool {
-	return b.cfg.Stage > 0 || float64(b.inflight) < b.capacity()
+func (b *Balancer) room() bool { return b.groupRoom(0) || b.groupRoom(1) }
+
+// groupRoom reports whether a zone group is under its limit. Inner tiers have none: what they held
+// back would keep its slot in the tier above.
+func (b *Balancer) groupRoom(g int) bool {
+	z := &b.zones[g]
+	if b.cfg.Stage > 0 {
+		return true
+	}
+	return z.weight > 0 && float64(z.inflight) < max(1, z.limit*z.weight)
 }
 
-// capacity is what the usable upstreams can take together, at least one attempt.
+// capacity is what all usable upstreams can take together, at least one attempt.
 func (b *Balancer) capacity() float64 {
-	w := 0.0
-	for _, u := range b.list {
-		if u.usable(b) {
-			w += u.limit * b.warmth(u)
+	return max(1, b.zones[0].limit*b.zones[0].weight+b.zones[1].limit*b.zones[1].weight)
+}
+
+// weigh sums up, for each zone group, how many warm upstreams its usable ones are worth; if none is
+// usable, all that are ready count: they may only seem bad.
+func (b *Balancer) weigh() {
+	b.zones[0].weight, b.zones[1].weight = 0, 0
+	for _, ok := range [...]func(*upstream, *Balancer) bool{(*upstream).usable, (*upstream).possible} {
+		for _, u := range b.list {
+			if ok(u, b) {
+				b.zones[b.group(u)].weight += b.warmth(u)
+			}
+		}
+		if b.zones[0].weight+b.zones[1].weight > 0 {
+			return
 		}
 	}
-	return max(1, w)
 }
 
 // hold keeps a request back until there is room, or refuses it at once if as many wait already as
@@ -349,24 +368,21 @@
 	}
 }
 
-// learnLimit moves an upstream's in-flight limit by how one of its attempts ended: up while answers come
+// learnLimit moves a zone group's in-flight limit by how one of its attempts ended: up while answers come
 // well within their aims and the limit is in use, down in proportion to how far they do not. A full limit's
 // worth of outcomes, one round trip, moves it by a bounded share. Until the first sign of a queue it
 // doubles each round trip, so that neither a day's nor a copy's start floods the fleet.
-func (b *Balancer) learnLimit(u *upstream, a *attempt, accept float64) {
-	step := limitGain * (accept - easeWant)
+func (b *Balancer) learnLimit(z *zoneView, accept float64) {
+	step := limitGain * (accept - easeWant) / max(1, z.weight)
 	switch {
 	case step < 0:
-		if a.sent >= u.cut { // one that was sent before the last cut says nothing of what the cut did
-			u.limit = max(limitLeast, u.limit+step*max(1, u.limit/limitStart))
-			u.cut = b.now
-		}
-		u.grown = true
-	case float64(u.inflight+1) >= u.limit/2:
-		if !u.grown {
-			step = 1
+		z.limit = max(limitLeast, z.limit+step)
+		z.grown = z.grown || z.served.n > minRequests
+	case float64(z.inflight+1) >= z.limit*z.weight/2:
+		if !z.grown {
+			step = 1 / max(1, z.weight)
 		}
-		u.limit += step
+		z.limit += step
 	}
 }
 
@@ -408,6 +424,9 @@
 	if b.rng.Float64() < max(trialShare, b.spill) {
 		first = 1
 	}
+	if !b.groupRoom(first) && b.groupRoom(1-first) { // the other group takes the excess
+		first = 1 - first
+	}
 	for _, g := range [...]int{first, 1 - first} {
 		if u := b.twoChoices(r, g, (*upstream).usable); u != nil {
 			return u
@@ -495,7 +514,7 @@
 	if r.mayRun < 0 {
 		r.mayRun = len(r.attempts) - 1
 	}
-	b.inflight++
+	b.zones[b.group(u)].inflight++
 	u.inflight++
 	u.sends++
 	u.tokens--
@@ -513,6 +532,7 @@
 	hangLeast    = 300.0
 	slowTimes    = 2.0 // service time against the fleet's from which an upstream counts as slow
 	slowMin      = 8   // own outcomes needed to call it slow
+	stretchMost  = 4.0 // one costly request must not make an upstream look slow
 	slowFade     = 0.01
 )
 
@@ -538,7 +558,7 @@
 		usual := &b.usual[r.class]
 		usual.add(e.Spent, 0.02)
 		b.service.add(e.Spent, 0.02)
-		stretch := min(8, e.Spent/max(1, usual.value))
+		stretch := min(stretchMost, e.Spent/max(1, usual.value))
 		u.stretch.add(stretch, 0.1)
 		z.stretch.add(stretch, 0.05)
 		z.served.add(1, 0.05)
@@ -565,6 +585,7 @@
 	u.ejected = b.now + u.backoff*(0.75+b.rng.Float64()/2)
 	u.trial = true
 	u.fails = 0
+	b.weigh()
 }
 
 // mayLeaveOut reports whether one more upstream may be left out.
@@ -638,11 +659,11 @@
 			if e.State == Gone {
 				continue
 			}
-			u = &upstream{id: e.ID, slow: 1, limit: limitStart, tokens: b.rng.Float64()}
+			u = &upstream{id: e.ID, slow: 1, tokens: b.rng.Float64()}
 			b.ups[e.ID] = u
 			b.list = append(b.list, u)
 		} else if e.Started > u.Started { // a new process under the old id
-			*u = upstream{id: u.id, slow: 1, limit: limitStart, inflight: u.inflight, tokens: b.rng.Float64()}
+			*u = upstream{id: u.id, slow: 1, inflight: u.inflight, tokens: b.rng.Float64()}
 		}
 		u.Entry, u.zone = e, e.Zone
 	}
@@ -656,6 +677,7 @@
 	}
 	clear(b.list[len(kept):])
 	b.list = kept
+	b.weigh()
 }
 
 // Retry.
--- a/balance/state.go
+++ b/balance/state.go
@@ -61,8 +61,7 @@
 	usual   []mean    // service time by class
 	service mean      // service time over all classes
 
-	queue    []*request // held, highest worth first
-	inflight int
+	queue []*request // held, highest worth first
 
 	spill    float64 // share of traffic moved to other zones
 	zones    [2]zoneView
@@ -82,6 +81,7 @@
 	for i := range b.window {
 		b.window[i] = make([]count, len(cfg.Classes))
 	}
+	b.zones[0].limit, b.zones[1].limit = limitStart, limitStart
 	for _, q := range cfg.TenantQuota {
 		b.tenants = append(b.tenants, q/float64(max(1, cfg.Replicas)))
 	}
@@ -134,9 +134,6 @@
 	zone     uint16
 	inflight int
 	sends    float64 // since the last tick
-	limit    float64 // attempts of this copy in flight that it answers well within their aims
-	cut      Millis  // when the limit last fell
-	grown    bool    // the limit has met its first sign of a queue
 	tokens   float64 // sends allowed while cold
 	fails    int     // in a row
 	ejected  Millis  // until then
@@ -151,8 +148,12 @@
 
 // zoneView is how a zone group fares: 0 is the own zone, 1 all others.
 type zoneView struct {
-	stretch mean
-	served  mean
+	stretch  mean
+	served   mean
+	inflight int
+	weight   float64 // usable upstreams, in units of warm ones
+	limit    float64 // attempts in flight per unit of weight
+	grown    bool    // the limit has met its first sign of a queue
 }
 
 // mean is an average that forgets: exact over its first values, then exponential.
