--- a/balance/balance.go
+++ b/balance/balance.go
@@ -236,7 +236,7 @@
 	}
 	accept := 0.0
 	if e.Outcome == OK {
-		accept = b.ease(r, r.arrived)
+		accept = b.ease(r)
 		if b.cfg.Stage > 0 { // further in the aim is not known
 			accept = 1
 		}
@@ -248,17 +248,17 @@
 	b.record(r.class, accept)
 	switch e.Outcome {
 	case OK:
-		b.learnLimit(&b.zones[b.group(a.up)], b.ease(r, a.sent))
+		b.learnLimit(&b.zones[b.group(a.up)], min(1, e.Spent/b.cfg.Classes[r.class].Aim))
 	case TimedOut, Full, Errored:
-		b.learnLimit(&b.zones[b.group(a.up)], 0)
+		b.learnLimit(&b.zones[b.group(a.up)], 1)
 	}
 }
 
-// ease is how far an answer now to what began then counts as an accept: late ones count nothing, and
-// those close to late count in part, since the queue they came from makes the next ones late.
-func (b *Balancer) ease(r *request, began Millis) float64 {
+// ease is how far an answer now counts as an accept: late ones count nothing, and those close to late
+// count in part, since the queue they came from makes the next ones late.
+func (b *Balancer) ease(r *request) float64 {
 	aim := b.cfg.Classes[r.class].Aim
-	return min(1, max(0, (began+aim-b.now)/(aim*(1-easyShare))))
+	return min(1, max(0, (r.arrived+aim-b.now)/(aim*(1-easyShare))))
 }
 
 // tenantShare is the share of its worth that a tenant's next request keeps.
@@ -284,11 +284,15 @@
 // Hold: at the first tier, a short wait under an in-flight limit learned from own outcomes.
 
 const (
-	easeWant   = 0.85 // mean accept at which a limit stays: below, queues are eating the aims
-	limitGain  = 0.5  // of the difference: a round trip of late answers halves a limit at most
-	limitStart = 2.0  // a limit before anything is known: two cores' worth of one copy alone
-	limitLeast = 0.3  // below one: pooled over the upstreams, copies share one attempt in flight
-	holdShare  = 0.2  // longest hold, as a share of the aim: waits should mostly end in an answer
+	lateMean   = 0.6   // mean share of the aims taken at which a good part of the answers is late
+	calmLeast  = 0.05  // below this share of the aim a service time is no measure of queues
+	calmRise   = 0.001 // a lasting change of the work is taken as the new calm after some hundred outcomes
+	tookGain   = 0.05  // some twenty outcomes make the mean
+	limitGain  = 0.7   // a round trip of late answers about halves a limit
+	startGain  = 0.5   // half as much again each round trip, at the start
+	limitStart = 2.0   // a limit before anything is known: two cores' worth of one copy alone
+	limitLeast = 0.3   // below one: pooled over the upstreams, copies share one attempt in flight
+	holdShare  = 0.2   // longest hold, as a share of the aim: waits should mostly end in an answer
 )
 
 // room reports whether a request may be sent now.
@@ -368,21 +372,28 @@
 	}
 }
 
-// learnLimit moves a zone group's in-flight limit by how one of its attempts ended: up while answers come
-// well within their aims and the limit is in use, down in proportion to how far they do not. A full limit's
-// worth of outcomes, one round trip, moves it by a bounded share. Until the first sign of a queue it
-// doubles each round trip, so that neither a day's nor a copy's start floods the fleet.
-func (b *Balancer) learnLimit(z *zoneView, accept float64) {
-	step := limitGain * (accept - easeWant) / max(1, z.weight)
+// learnLimit moves a zone group's in-flight limit by how one of its attempts ended: the share of its aim
+// that it took, 1 for none in time. The limit settles where that share is, on average, halfway on a
+// scale of ratios between what it is without queues and late. A round trip moves it by a bounded share.
+// Until the first sign of a queue it rises faster, so that a start neither floods nor starves.
+func (b *Balancer) learnLimit(z *zoneView, took float64) {
+	b.took.add(took, tookGain)
+	if b.took.n >= minRequests {
+		if b.calm == 0 || b.took.value < b.calm {
+			b.calm = b.took.value
+		}
+		b.calm += (b.took.value - b.calm) * calmRise
+	}
+	want := math.Sqrt(max(b.calm, calmLeast) * lateMean)
+	step := limitGain * (want - took) / max(1, z.weight)
 	switch {
-	case step < 0:
+	case b.took.value > want && z.served.n > minRequests:
+		z.grown = true
+	case step > 0 && !z.grown:
+		step = startGain / max(1, z.weight)
+	}
+	if step < 0 || float64(z.inflight+1) >= z.limit*z.weight/2 {
 		z.limit = max(limitLeast, z.limit+step)
-		z.grown = z.grown || z.served.n > minRequests
-	case float64(z.inflight+1) >= z.limit*z.weight/2:
-		if !z.grown {
-			step = 1 / max(1, z.weight)
-		}
-		z.limit += step
 	}
 }
 
