--- a/balance/balance.go
+++ b/balance/balance.go
@@ -15,7 +15,7 @@
 	bucketFor   = 500.0 // ms a bucket of the window: the window slides in steps small against its length
 	buckets     = 6     // window of 3 s: long against a service time, and a swing is forgotten soon
 	minRequests = 20    // below this many finished requests a share of accepts means nothing
-	kFirst      = 2.0   // K at the first tier, the chapter's: twice what is served keeps recovery quick
+	kFirst      = 1.5   // K at the first tier, the low end: shed there, before any work is done
 	kInner      = 3.0   // K further in: a refusal there wastes the work above it
 	easyShare   = 0.5   // an answer within this share of its aim counts as a whole accept, then ever less
 )
@@ -284,7 +284,7 @@
 // Hold: at the first tier, a short wait under an in-flight limit learned from own outcomes.
 
 const (
-	lateMean   = 0.6   // mean share of the aims taken at which a good part of the answers is late
+	lateMean   = 0.5   // mean share of the aims taken at which a good part of the answers is late
 	calmLeast  = 0.05  // below this share of the aim a service time is no measure of queues
 	calmRise   = 0.001 // a lasting change of the work is taken as the new calm after some hundred outcomes
 	tookGain   = 0.05  // some twenty outcomes make the mean
