--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,6 +17,7 @@
 	minRequests = 20    // below this many finished requests a share of accepts means nothing
 	kFirst      = 1.5   // K at the first tier, the low end: shed there, before any work is done
 	kInner      = 3.0   // K further in: a refusal there wastes the work above it
+	idleShare   = 0.5   // of the in-flight limit: below it the formula does not refuse
 	easyShare   = 0.5   // an answer within this share of its aim counts as a whole accept, then ever less
 )
 
@@ -72,20 +73,6 @@
 	}
 }
 
-func (b *Balancer) newRequest(e *Event) *request {
-	r := &request{}
-	if n := len(b.free); n > 0 {
-		r, b.free = b.free[n-1], b.free[:n-1]
-	}
-	c := &b.cfg.Classes[e.Class]
-	*r = request{id: e.Request, class: e.Class, arrived: b.now, expires: b.now + e.ExpiresIn,
-		worth: c.Worth * b.tenantShare(int(e.Tenant)), attempts: r.attempts[:0], mayRun: -1}
-	r.until = b.usefulUntil(r, c)
-	b.reqs[r.id] = r
-	b.open = append(b.open, r)
-	return r
-}
-
 func (b *Balancer) onOutcome(e *Event) {
 	r := b.reqs[e.Request]
 	if r == nil || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].over {
@@ -180,16 +167,7 @@
 
 // tick is the housekeeping round.
 func (b *Balancer) tick() {
-	kept := b.open[:0]
-	for _, r := range b.open {
-		if r.done && r.out == 0 {
-			b.free = append(b.free, r)
-		} else {
-			kept = append(kept, r)
-		}
-	}
-	clear(b.open[len(kept):])
-	b.open = kept
+	b.sweep()
 	dt := b.now - b.lastTick
 	b.lastTick = b.now
 	b.refillTenants(dt)
@@ -206,7 +184,7 @@
 // throttled decides whether to refuse a new request. The design's formula gives the share of all
 // requests to refuse; that volume is taken from the lowest worth up.
 func (b *Balancer) throttled(r *request) bool {
-	if b.total.requests < minRequests {
+	if b.total.requests < minRequests || b.idle() {
 		return false
 	}
 	k := kFirst
@@ -229,6 +207,12 @@
 	return b.rng.Float64()*max(equal, 1) < p*b.total.requests-below
 }
 
+// idle reports whether the limit leaves at least half its room unused. The formula is then overruled: once
+// few are accepted it lets too few through to learn that the fleet is well again.
+func (b *Balancer) idle() bool {
+	return b.cfg.Stage == 0 && float64(b.zones[0].inflight+b.zones[1].inflight) < idleShare*b.capacity()
+}
+
 // tally counts the outcome of an attempt.
 func (b *Balancer) tally(r *request, a *attempt, e *Event) {
 	if e.Outcome == Moot || e.Outcome == Cancelled && !a.gave {
@@ -273,14 +257,6 @@
 	return 1
 }
 
-// refillTenants lets each tenant's tokens grow to at most one second's worth.
-func (b *Balancer) refillTenants(dt Millis) {
-	for i := range b.tenants {
-		rate := b.cfg.TenantQuota[i] / float64(max(1, b.cfg.Replicas))
-		b.tenants[i] = min(max(1, rate), b.tenants[i]+rate*dt/1000)
-	}
-}
-
 // Hold: at the first tier, a short wait under an in-flight limit learned from own outcomes.
 
 const (
@@ -350,19 +326,6 @@
 	b.act(Action{Kind: ActTimer, After: wait, Cookie: uint64(r.id)})
 }
 
-func (b *Balancer) unhold(r *request) {
-	if !r.held {
-		return
-	}
-	r.held = false
-	for i, q := range b.queue {
-		if q == r {
-			b.queue = append(b.queue[:i], b.queue[i+1:]...)
-			return
-		}
-	}
-}
-
 // release sends what is held while there is room.
 func (b *Balancer) release() {
 	for len(b.queue) > 0 && b.room() {
@@ -541,9 +504,10 @@
 	badShare     = 0.5 // of the upstreams at most may be left out; if more look bad, they are not the cause
 	hangTimes    = 4.0 // an attempt out for this many usual service times, with nothing answered since, is a hang
 	hangLeast    = 300.0
-	slowTimes    = 2.0 // service time against the fleet's from which an upstream counts as slow
-	slowMin      = 8   // own outcomes needed to call it slow
-	stretchMost  = 4.0 // one costly request must not make an upstream look slow
+	slowTimes    = 2.0    // service time against the fleet's from which an upstream counts as slow
+	slowMin      = 8      // own outcomes needed to call it slow
+	stretchMost  = 4.0    // one costly request must not make an upstream look slow
+	reportFor    = 3000.0 // ms for which a report is believed
 	slowFade     = 0.01
 )
 
@@ -642,6 +606,9 @@
 	}
 	for _, u := range b.list {
 		u.stretch.fade(1, slowFade)
+		if b.now-u.answered > reportFor {
+			u.reported = 0
+		}
 		if u.hung && u.inflight == 0 { // all its attempts have ended without an answer: try again later
 			u.hung = false
 			b.eject(u)
--- a/balance/state.go
+++ b/balance/state.go
@@ -179,3 +179,54 @@
 	}
 	return false
 }
+
+// newRequest enters a request that has arrived.
+func (b *Balancer) newRequest(e *Event) *request {
+	r := &request{}
+	if n := len(b.free); n > 0 {
+		r, b.free = b.free[n-1], b.free[:n-1]
+	}
+	c := &b.cfg.Classes[e.Class]
+	*r = request{id: e.Request, class: e.Class, arrived: b.now, expires: b.now + e.ExpiresIn,
+		worth: c.Worth * b.tenantShare(int(e.Tenant)), attempts: r.attempts[:0], mayRun: -1}
+	r.until = b.usefulUntil(r, c)
+	b.reqs[r.id] = r
+	b.open = append(b.open, r)
+	return r
+}
+
+// unhold takes a request out of the queue.
+func (b *Balancer) unhold(r *request) {
+	if !r.held {
+		return
+	}
+	r.held = false
+	for i, q := range b.queue {
+		if q == r {
+			b.queue = append(b.queue[:i], b.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// refillTenants lets each tenant's tokens grow to at most one second's worth.
+func (b *Balancer) refillTenants(dt Millis) {
+	for i := range b.tenants {
+		rate := b.cfg.TenantQuota[i] / float64(max(1, b.cfg.Replicas))
+		b.tenants[i] = min(max(1, rate), b.tenants[i]+rate*dt/1000)
+	}
+}
+
+// sweep forgets the requests that are over.
+func (b *Balancer) sweep() {
+	kept := b.open[:0]
+	for _, r := range b.open {
+		if r.done && r.out == 0 {
+			b.free = append(b.free, r)
+		} else {
+			kept = append(kept, r)
+		}
+	}
+	clear(b.open[len(kept):])
+	b.open = kept
+}
