--- a/balance/balance.go
+++ b/balance/balance.go
@@ -265,9 +265,10 @@
 	calmRise   = 0.001 // a lasting change of the work is taken as the new calm after some hundred outcomes
 	tookGain   = 0.05  // some twenty outcomes make the mean
 	limitGain  = 0.7   // a round trip of late answers about halves a limit
-	startGain  = 0.5   // half as much again each round trip, at the start
+	usedShare  = 0.8   // a limit rises only while this much of it is in use
+	startGain  = 0.2   // a fifth more each round trip at the start: slower than outcomes come back
 	limitStart = 2.0   // a limit before anything is known: two cores' worth of one copy alone
-	limitLeast = 0.3   // below one: pooled over the upstreams, copies share one attempt in flight
+	limitLeast = 0.5   // of all copies together: a crowded upstream may need to be nearly idle to recover
 	holdShare  = 0.2   // longest hold, as a share of the aim: waits should mostly end in an answer
 )
 
@@ -355,8 +356,8 @@
 	case step > 0 && !z.grown:
 		step = startGain / max(1, z.weight)
 	}
-	if step < 0 || float64(z.inflight+1) >= z.limit*z.weight/2 {
-		z.limit = max(limitLeast, z.limit+step)
+	if step < 0 || float64(z.inflight+1) >= usedShare*z.limit*z.weight {
+		z.limit = max(limitLeast/float64(max(1, b.cfg.Replicas)), z.limit+step)
 	}
 }
 
