--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,6 +18,7 @@
 	kFirst      = 1.5   // K at the first tier, the low end: shed there, before any work is done
 	kInner      = 3.0   // K further in: a refusal there wastes the work above it
 	idleShare   = 0.5   // of the in-flight limit: below it the formula does not refuse
+	worthLeast  = 1e-3  // keeps a worth of nothing finite
 	easyShare   = 0.5   // an answer within this share of its aim counts as a whole accept, then ever less
 )
 
@@ -182,7 +183,9 @@
 // Throttle.
 
 // throttled decides whether to refuse a new request. The design's formula gives the share of all
-// requests to refuse; that volume is taken from the lowest worth up.
+// requests to refuse. The lowest worth bears that volume first: odds of refusal fall with the square of
+// worth, so that a class worth twelve times another is hardly touched before that is all refused, while
+// classes of nearly equal worth share the refusals and none starves.
 func (b *Balancer) throttled(r *request) bool {
 	if b.total.requests < minRequests || b.idle() {
 		return false
@@ -191,20 +194,27 @@
 	if b.cfg.Stage > 0 {
 		k = kInner
 	}
-	p := (b.total.requests - k*b.total.accepts) / (b.total.requests + 1)
-	if p <= 0 {
+	volume := (b.total.requests - k*b.total.accepts) * b.total.requests / (b.total.requests + 1)
+	if volume <= 0 {
 		return false
 	}
-	var below, equal float64
-	for i := range b.sum {
-		switch w := b.cfg.Classes[i].Worth; {
-		case w < r.worth:
-			below += b.sum[i].requests
-		case w == r.worth:
-			equal += b.sum[i].requests
+	odds := 0.0 // of a request worth 1; raised until the classes not yet refused whole bear the rest
+	for range b.sum {
+		rest, bearing := volume, 0.0
+		for i := range b.sum {
+			if w := max(worthLeast, b.cfg.Classes[i].Worth); odds >= w*w {
+				rest -= b.sum[i].requests
+			} else {
+				bearing += b.sum[i].requests / (w * w)
+			}
+		}
+		if bearing == 0 || rest <= 0 {
+			break
 		}
+		odds = rest / bearing
 	}
-	return b.rng.Float64()*max(equal, 1) < p*b.total.requests-below
+	w := max(worthLeast, r.worth)
+	return b.rng.Float64()*w*w < odds
 }
 
 // idle reports whether the limit leaves at least half its room unused. The formula is then overruled: once
