--- a/balance/balance.go
+++ b/balance/balance.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	tickEvery   = 100.0 // ms between housekeeping rounds: a fifth of a bucket, fast against any aim in seconds
+	tickEvery   = 100.0 // ms between housekeeping rounds: a fifth of a bucket, fast against an aim
 	bucketFor   = 500.0 // ms a bucket of the window: the window slides in steps small against its length
 	buckets     = 6     // window of 3 s: long against a service time, and a swing is forgotten soon
 	minRequests = 20    // below this many finished requests a share of accepts means nothing
@@ -220,7 +220,7 @@
 // idle reports whether the limit leaves at least half its room unused. The formula is then overruled: once
 // few are accepted it lets too few through to learn that the fleet is well again.
 func (b *Balancer) idle() bool {
-	return b.cfg.Stage == 0 && float64(b.zones[0].inflight+b.zones[1].inflight) < idleShare*b.capacity()
+	return float64(b.zones[0].inflight+b.zones[1].inflight) < idleShare*b.capacity()
 }
 
 // tally counts the outcome of an attempt.
@@ -282,8 +282,10 @@
 	holdShare  = 0.2   // longest hold, as a share of the aim: waits should mostly end in an answer
 )
 
-// room reports whether a request may be sent now.
-func (b *Balancer) room() bool { return b.groupRoom(0) || b.groupRoom(1) }
+// room reports whether a request need not be held. With no upstream at all there is nothing to wait for.
+func (b *Balancer) room() bool {
+	return b.groupRoom(0) || b.groupRoom(1) || b.zones[0].weight+b.zones[1].weight == 0
+}
 
 // groupRoom reports whether a zone group is under its limit. Inner tiers have none: what they held
 // back would keep its slot in the tier above.
@@ -513,7 +515,7 @@
 	ejectFor     = 2000.0 // ms of the first ejection; doubles up to ejectMost
 	ejectMost    = 16000.0
 	badShare     = 0.5 // of the upstreams at most may be left out; if more look bad, they are not the cause
-	hangTimes    = 4.0 // an attempt out for this many usual service times, with nothing answered since, is a hang
+	hangTimes    = 4.0 // usual service times without any answer that make a hang
 	hangLeast    = 300.0
 	slowTimes    = 2.0    // service time against the fleet's from which an upstream counts as slow
 	slowMin      = 8      // own outcomes needed to call it slow
--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,437 @@
+package balance
+
+import (
+	"math"
+	"testing"
+)
+
+// counted returns an instance whose window holds the given requests and accepts by class, and whose
+// limit is in use, so that the formula decides.
+func counted(cfg Config, requests, accepts []float64) *Balancer {
+	b := New(cfg, 1, 0)
+	b.onList(entries(4), true)
+	for c := range requests {
+		for i := range int(requests[c]) {
+			accept := 0.0
+			if float64(i) < accepts[c] {
+				accept = 1
+			}
+			b.record(uint8(c), accept)
+		}
+	}
+	b.zones[0].inflight = 1000
+	return b
+}
+
+// refused returns the share of a class's requests that the throttle refuses.
+func refused(b *Balancer, class uint8) float64 {
+	const n = 4000
+	count := 0.0
+	for range n {
+		if b.throttled(&request{class: class, worth: b.cfg.Classes[class].Worth}) {
+			count++
+		}
+	}
+	return count / n
+}
+
+func twoWorths(low, high float64) Config {
+	cfg := testConfig()
+	cfg.Classes = []Class{{Aim: 1000, Worth: low}, {Aim: 1000, Worth: high}}
+	return cfg
+}
+
+func TestFormula(t *testing.T) {
+	tests := []struct {
+		name              string
+		requests, accepts float64
+		stage             int
+		want              float64
+	}{
+		{"all accepted", 300, 300, 0, 0},
+		{"accepted just enough", 300, 200, 0, 0},
+		{"half accepted", 300, 150, 0, (300 - 1.5*150) / 301},
+		{"none accepted", 300, 0, 0, 300.0 / 301},
+		{"below the minimum count", 19, 0, 0, 0},
+		{"half accepted, further in", 300, 150, 1, 0},
+		{"fifth accepted, further in", 300, 60, 1, (300 - 3.0*60) / 301},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			cfg := twoWorths(1, 1)
+			cfg.Stage = tt.stage
+			b := counted(cfg, []float64{tt.requests}, []float64{tt.accepts})
+			if got := refused(b, 0); math.Abs(got-tt.want) > 0.03 {
+				t.Errorf("refuses %.3f, want %.3f", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestLowestWorthFirst(t *testing.T) {
+	tests := []struct {
+		name             string
+		low, high        float64
+		accepts          float64 // of 200 requests, in each class
+		wantLow, wantHig [2]float64
+	}{
+		{"far apart, half of the volume", 1, 12, 100, [2]float64{0.45, 0.55}, [2]float64{0, 0.02}},
+		{"far apart, more than the low class", 1, 12, 15, [2]float64{0.99, 1}, [2]float64{0.72, 0.82}},
+		{"close, half of the volume", 5, 8, 100, [2]float64{0.3, 0.42}, [2]float64{0.1, 0.18}},
+		{"equal", 3, 3, 100, [2]float64{0.2, 0.3}, [2]float64{0.2, 0.3}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := counted(twoWorths(tt.low, tt.high), []float64{200, 200}, []float64{tt.accepts, tt.accepts})
+			low, high := refused(b, 0), refused(b, 1)
+			if low < tt.wantLow[0] || low > tt.wantLow[1] || high < tt.wantHig[0] || high > tt.wantHig[1] {
+				t.Errorf("refuses %.3f of the low, %.3f of the high; want %v and %v",
+					low, high, tt.wantLow, tt.wantHig)
+			}
+		})
+	}
+}
+
+// With few accepts left in the window the formula let too few through to see the fleet recover.
+func TestIdleCopyDoesNotRefuse(t *testing.T) {
+	for stage := range 2 {
+		cfg := twoWorths(1, 1)
+		cfg.Stage = stage
+		b := counted(cfg, []float64{300}, []float64{0})
+		b.zones[0].inflight = 0
+		if got := refused(b, 0); got != 0 {
+			t.Errorf("stage %d: refuses %.2f with nothing in flight", stage, got)
+		}
+	}
+}
+
+func TestWindowForgets(t *testing.T) {
+	b := counted(twoWorths(1, 1), []float64{300}, []float64{0})
+	b.Handle(buckets*bucketFor+1, &Event{Kind: EventTimer, Cookie: 7})
+	if b.total.requests != 0 || b.sum[0].requests != 0 {
+		t.Errorf("%v requests are left after a whole window", b.total.requests)
+	}
+}
+
+func TestNearlySpentCallsDoNotCount(t *testing.T) {
+	cfg := testConfig()
+	cfg.Stage = 1
+	f := settled(t, cfg, 6)
+	f.now += buckets * bucketFor
+	f.step()
+	before := f.b.total
+	for range 5 {
+		q := f.submit(0, 8)
+		f.now += 8
+		f.end(q, 0, TimedOut)
+	}
+	if f.b.total != before {
+		t.Errorf("counts went from %v to %v by calls that came nearly spent", before, f.b.total)
+	}
+}
+
+func TestLateAnswersAreNoAccepts(t *testing.T) {
+	f := settled(t, testConfig(), 6)
+	for _, tt := range []struct{ after, want float64 }{{100, 1}, {400, 1}, {600, 0.5}, {800, 0}, {900, 0}} {
+		q := f.submit(0, 2000)
+		before := f.b.total
+		f.now += tt.after
+		f.b.now = f.now
+		if got := f.b.ease(f.b.reqs[q.id]); math.Abs(got-tt.want) > 0.01 {
+			t.Errorf("an answer after %.0f of 800 ms counts %.2f, want %.2f (window %v)", tt.after, got, tt.want, before)
+		}
+		f.end(q, 0, OK)
+	}
+}
+
+func TestRetryBudget(t *testing.T) {
+	f := settled(t, testConfig(), 8)
+	for range buckets {
+		f.now += bucketFor
+		f.step()
+	}
+	requests, retries := 0, 0
+	for range 200 {
+		q := f.submit(0, 2000)
+		requests++
+		for n := 0; n < len(q.tries) && !q.done; n++ {
+			f.end(q, n, Errored)
+			if n > 0 {
+				retries++
+			}
+			if len(q.tries) > maxTries {
+				t.Fatalf("%d attempts for one request", len(q.tries))
+			}
+		}
+		f.step()
+	}
+	if retries == 0 || float64(retries) > retryShare*float64(requests+retries)+1 {
+		t.Errorf("%d retries for %d requests", retries, requests)
+	}
+}
+
+// A fleet in which two choices by themselves left the fullest far above the mean.
+func TestTwoChoicesKeepLoadEven(t *testing.T) {
+	cfg := testConfig()
+	cfg.Stage = 1
+	f := newFront(t, cfg, 4)
+	var list []Entry
+	for i := range 10 {
+		list = append(list, Entry{ID: UpstreamID(i + 1), State: Ready})
+	}
+	f.list(true, list...)
+	for range 200 {
+		f.submit(0, 2000)
+	}
+	most := 0
+	for _, u := range f.b.list {
+		most = max(most, u.inflight)
+	}
+	if most > 21 {
+		t.Errorf("%d in flight at the fullest of ten, 20 are the mean", most)
+	}
+}
+
+// A copy kept eleven in flight at each own-zone upstream while the other zone was idle.
+func TestOtherZoneTakesTheExcess(t *testing.T) {
+	f := settled(t, testConfig(), 8)
+	f.b.zones[0].limit, f.b.zones[1].limit = 2, 2
+	for range 12 {
+		f.submit(0, 2000)
+	}
+	if own, other := f.b.zones[0].inflight, f.b.zones[1].inflight; own > 8 || own+other < 12 {
+		t.Errorf("%d in flight in the own zone of room for 8, %d in the other", own, other)
+	}
+}
+
+func TestSpillAndReturn(t *testing.T) {
+	f := settled(t, testConfig(), 8)
+	set := func(own, other, ownServed float64) {
+		f.b.zones[0].stretch, f.b.zones[1].stretch = mean{own, 100}, mean{other, 100}
+		f.b.zones[0].served, f.b.zones[1].served = mean{ownServed, 100}, mean{1, 100}
+	}
+	for _, tt := range []struct {
+		name                  string
+		own, other, ownServed float64
+		up                    bool
+	}{{"own zone slow", 2, 1, 1, true}, {"zones alike", 1, 1, 1, false}, {"own zone fails", 1, 1, 0.5, true},
+		{"other zone slow", 1, 3, 1, false}} {
+		set(tt.own, tt.other, tt.ownServed)
+		for range 20 {
+			f.b.adjustSpill()
+		}
+		if up := f.b.spill > 0.5; up != tt.up || f.b.spill > 1-trialShare {
+			t.Errorf("%s: spill %.2f", tt.name, f.b.spill)
+		}
+	}
+}
+
+func TestHeldRequests(t *testing.T) {
+	f := settled(t, testConfig(), 4)
+	f.b.zones[0].limit, f.b.zones[1].limit, f.b.zones[0].grown, f.b.zones[1].grown = 1, 1, true, true
+	var low, high []*asked
+	for range 4 {
+		f.submit(1, 3000)
+	}
+	for range 3 {
+		low = append(low, f.submit(1, 3000))
+	}
+	high = append(high, f.submit(0, 2000))
+	if len(high[0].tries)+len(low[0].tries) > 0 {
+		t.Fatal("sent beyond the limit")
+	}
+	first := f.order[len(f.order)-8]
+	f.b.Handle(f.now, &Event{Kind: EventTimer, Cookie: 1 << 40}) // anything: nothing is released without room
+	if len(high[0].tries) != 0 {
+		t.Fatal("released without room")
+	}
+	first.tries[0].over = true
+	f.end(first, 0, OK)
+	if len(high[0].tries) != 1 || len(low[1].tries) != 0 {
+		t.Errorf("released %d of high worth and %d of low; want the high one first", len(high[0].tries), len(low[1].tries))
+	}
+	for _, q := range f.order {
+		for _, tr := range q.tries {
+			tr.ends = math.Inf(1)
+		}
+	}
+	at := f.now
+	for !low[2].done && f.now < at+1000 {
+		f.step()
+	}
+	if f.now-at > holdShare*1200+50 {
+		t.Errorf("a held request waited %.0f ms for its refusal, want at most a fifth of its aim", f.now-at)
+	}
+}
+
+func TestLimitFollowsOutcomes(t *testing.T) {
+	b := New(testConfig(), 1, 0)
+	b.onList(entries(8), true)
+	z := &b.zones[0]
+	z.served.n, z.inflight = 100, 1000
+	for range 200 {
+		b.learnLimit(z, 0.1)
+	}
+	high := z.limit
+	if high <= limitStart {
+		t.Fatalf("limit %.2f has not risen on quick answers", high)
+	}
+	for range 80 {
+		b.learnLimit(z, 1)
+	}
+	low := z.limit
+	if low > high/2 || !z.grown {
+		t.Errorf("limit went from %.2f to %.2f on late answers", high, low)
+	}
+	for range 4000 {
+		b.learnLimit(z, 1)
+	}
+	if z.limit > limitLeast || z.limit <= 0 {
+		t.Errorf("limit %.3f after lasting trouble", z.limit)
+	}
+	z.inflight, z.limit = 0, 5
+	before := z.limit
+	b.learnLimit(z, 0)
+	if z.limit != before {
+		t.Error("a limit not in use has risen")
+	}
+}
+
+// A hung upstream shows by its own oldest attempt, before any outcome.
+func TestHangIsSeenBeforeItsTimeout(t *testing.T) {
+	f := settled(t, testConfig(), 8)
+	hung := f.b.list[0]
+	var stuck []*asked
+	for f.now < 2e6 && !hung.hung {
+		q := f.submit(0, 2000)
+		if len(q.tries) > 0 && q.tries[0].up == hung.id {
+			q.tries[0].ends = math.Inf(1)
+			stuck = append(stuck, q)
+		} else if len(q.tries) > 0 {
+			f.now += 15
+			f.end(q, 0, OK)
+		}
+		f.step()
+	}
+	if !hung.hung || f.now-stuck[0].tries[0].sent > 800 {
+		t.Fatalf("hang seen: %v, after %.0f ms", hung.hung, f.now-stuck[0].tries[0].sent)
+	}
+	if hung.usable(f.b) {
+		t.Error("a hung upstream is still used")
+	}
+	f.step()
+	again := 0
+	for _, q := range stuck {
+		again += len(q.tries) - 1
+	}
+	if again == 0 {
+		t.Error("no safe request was called off the hung upstream and sent elsewhere")
+	}
+}
+
+func TestEjectionIsBoundedAndEnds(t *testing.T) {
+	f := settled(t, testConfig(), 8)
+	for _, u := range f.b.list {
+		f.b.eject(u)
+	}
+	out := 0
+	for _, u := range f.b.list {
+		if !u.usable(f.b) {
+			out++
+		}
+	}
+	if out != 4 {
+		t.Errorf("%d of 8 are left out, want half at most", out)
+	}
+	f.now += 2 * ejectFor
+	f.step()
+	u := f.b.list[0]
+	if !u.usable(f.b) || !u.trial {
+		t.Fatal("not back on trial after its ejection")
+	}
+	u.inflight++
+	if u.usable(f.b) {
+		t.Error("more than one attempt at an upstream on trial")
+	}
+	u.inflight--
+}
+
+func TestRestartedUpstreamIsNew(t *testing.T) {
+	f := settled(t, testConfig(), 4)
+	u := f.b.list[0]
+	f.b.eject(u)
+	e := u.Entry
+	e.Started = f.now
+	f.list(false, e)
+	if u.trial || f.b.warmth(u) > 0.3 {
+		t.Errorf("trial %v, warmth %.2f after a restart", u.trial, f.b.warmth(u))
+	}
+}
+
+func TestAskDiscovery(t *testing.T) {
+	cfg := testConfig()
+	cfg.Ask = true
+	b := New(cfg, 1, 0)
+	tracked := func() (n int) {
+		for _, a := range b.Actions() {
+			if a.Kind == ActTrack {
+				n++
+			}
+		}
+		return n
+	}
+	if tracked() != 1 {
+		t.Fatal("does not subscribe at its start")
+	}
+	b.Handle(10, &Event{Kind: EventListFailed})
+	if tracked() != 0 {
+		t.Error("asks again at once")
+	}
+	b.Handle(2000, &Event{Kind: EventTimer, Cookie: cookieTrack})
+	if tracked() != 1 {
+		t.Error("does not ask again")
+	}
+}
+
+func TestTenantBeyondItsQuotaIsWorthLess(t *testing.T) {
+	cfg := testConfig()
+	cfg.TenantQuota = []float64{0, 20}
+	b := New(cfg, 1, 0)
+	full := 0
+	for range 30 {
+		if b.tenantShare(1) == 1 {
+			full++
+		}
+		if b.tenantShare(0) != 1 {
+			t.Fatal("a tenant without quota is cut")
+		}
+	}
+	if full != 10 {
+		t.Errorf("%d of 30 at full worth, want this copy's half of 20 a second", full)
+	}
+	b.refillTenants(500)
+	if b.tenantShare(1) != 1 {
+		t.Error("no refill")
+	}
+}
+
+func TestStream(t *testing.T) {
+	cfg := testConfig()
+	cfg.Classes[0].Stream = true
+	f := settled(t, cfg, 4)
+	q := f.submit(0, 2000)
+	f.now += 100
+	q.done = true
+	f.handle(Event{Kind: EventStream, Request: q.id, Upstream: q.tries[0].up, Spent: 100})
+	q.tries[0].ends = f.now + 60000
+	for range 1000 {
+		f.step()
+	}
+	if len(f.b.reqs) != 1 {
+		t.Fatalf("%d requests known while the stream runs", len(f.b.reqs))
+	}
+	f.end(q, 0, OK)
+	if len(f.b.reqs) != 0 {
+		t.Error("the stream is remembered after its end")
+	}
+}
--- /dev/null
+++ b/balance/rules_test.go
@@ -0,0 +1,480 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// front plays a legal front to one instance and checks the rules on its own books, knowing nothing of
+// the module's. It draws outcomes and their times at random: it is no model of servers.
+type front struct {
+	t     *testing.T
+	cfg   Config
+	b     *Balancer
+	rng   *rand.Rand
+	now   Millis
+	next  RequestID
+	reqs  map[RequestID]*asked
+	order []*asked
+	ups   map[UpstreamID]*told
+	upIDs []UpstreamID
+	bells []bell
+	sent  int
+	log   []string // every action, for comparing runs
+}
+
+type asked struct {
+	id      RequestID
+	class   Class
+	expires Millis
+	done    bool
+	tries   []*try
+}
+
+type try struct {
+	up      UpstreamID
+	sent    Millis
+	ends    Millis
+	how     Outcome
+	over    bool
+	ranOver bool // the outcome proved that it never ran
+}
+
+type told struct {
+	Entry
+	unfit Millis // when it was told that it drains or is gone; 0: fit
+	known bool
+}
+
+type bell struct {
+	at     Millis
+	cookie uint64
+}
+
+func newFront(t *testing.T, cfg Config, seed uint64) *front {
+	f := &front{t: t, cfg: cfg, rng: rand.New(rand.NewPCG(seed, 1)), now: 1e6, next: 1,
+		reqs: map[RequestID]*asked{}, ups: map[UpstreamID]*told{}}
+	f.b = New(cfg, seed, f.now)
+	f.carryOut()
+	return f
+}
+
+func (f *front) fail(format string, args ...any) {
+	f.t.Helper()
+	f.t.Fatalf("at %.0f: %s", f.now, fmt.Sprintf(format, args...))
+}
+
+// handle gives the instance an event and carries out what it wants.
+func (f *front) handle(e Event) {
+	f.b.Handle(f.now, &e)
+	f.carryOut()
+}
+
+func (f *front) carryOut() {
+	for _, a := range append([]Action(nil), f.b.Actions()...) {
+		f.log = append(f.log, fmt.Sprintf("%.0f %v", f.now, a))
+		switch a.Kind {
+		case ActSend:
+			f.send(a)
+		case ActRefuse, ActFail:
+			f.answer(a)
+		case ActCancel:
+			q := f.reqs[a.Request]
+			if q == nil || a.Attempt >= len(q.tries) {
+				f.fail("cancel of an attempt never made: %v", a)
+			}
+			if tr := q.tries[a.Attempt]; !tr.over {
+				tr.ends, tr.how = f.now, Cancelled
+			}
+		case ActTimer:
+			f.bells = append(f.bells, bell{f.now + max(a.After, f.cfg.Tick), a.Cookie})
+		}
+	}
+}
+
+func (q *asked) mayHaveRun() (*try, bool) {
+	for _, tr := range q.tries {
+		if !tr.ranOver {
+			return tr, true
+		}
+	}
+	return nil, false
+}
+
+// send checks rules 1 to 3 on an attempt.
+func (f *front) send(a Action) {
+	f.sent++
+	q, u := f.reqs[a.Request], f.ups[a.Upstream]
+	switch {
+	case q == nil || q.done:
+		f.fail("send for a request that is over: %v", a)
+	case u == nil:
+		f.fail("send to an upstream never listed: %v", a)
+	case u.unfit > 0:
+		f.fail("send to an upstream draining or gone since %.0f", u.unfit)
+	case f.now >= q.expires:
+		f.fail("send after the client's time")
+	case len(q.tries) >= f.cfg.MaxAttempts:
+		f.fail("attempt %d of at most %d", len(q.tries)+1, f.cfg.MaxAttempts)
+	}
+	for _, tr := range q.tries {
+		if !tr.over && !f.cfg.SecondCopies {
+			f.fail("two attempts of request %d out at once", q.id)
+		}
+	}
+	if first, ran := q.mayHaveRun(); ran {
+		was := f.ups[first.up]
+		switch {
+		case q.class.Effect == Unsafe:
+			f.fail("unsafe request %d sent again", q.id)
+		case q.class.Effect == Keyed && f.now > first.sent+q.class.Window:
+			f.fail("keyed request %d sent again after its window", q.id)
+		case q.class.Effect == Keyed && q.class.Group != GroupAll && was.Zone != u.Zone,
+			q.class.Effect == Keyed && q.class.Group == GroupCell && was.Cell != u.Cell:
+			f.fail("keyed request %d sent again outside its group", q.id)
+		}
+	}
+	tr := &try{up: a.Upstream, sent: f.now}
+	limit := q.expires
+	if a.After > 0 {
+		limit = min(limit, f.now+a.After)
+	}
+	tr.ends, tr.how = f.draw(limit)
+	q.tries = append(q.tries, tr)
+}
+
+// draw picks how and when an attempt ends, its time-out at the latest.
+func (f *front) draw(limit Millis) (Millis, Outcome) {
+	how := []Outcome{OK, OK, OK, OK, OK, OK, OK, OK, OK, Errored, Full, ConnectFailed, Reset, TimedOut}[f.rng.IntN(14)]
+	at := f.now + 5 + f.rng.Float64()*400
+	if how == TimedOut || at >= limit {
+		return limit, TimedOut
+	}
+	return at, how
+}
+
+// answer checks that a final answer is due and allowed.
+func (f *front) answer(a Action) {
+	q := f.reqs[a.Request]
+	if q == nil || q.done {
+		f.fail("second answer for request %d", a.Request)
+	}
+	if _, ran := q.mayHaveRun(); a.Kind == ActRefuse && ran {
+		if q.class.Effect == Unsafe || q.class.Effect == Keyed && q.class.Group != GroupAll {
+			f.fail("request %d may have run and was refused", q.id)
+		}
+	}
+	if f.now > q.expires+2*f.cfg.Tick {
+		f.fail("answer for request %d %.0f ms late", q.id, f.now-q.expires)
+	}
+	q.done = true
+}
+
+func (f *front) submit(class int, expiresIn Millis) *asked {
+	q := &asked{id: f.next, class: f.cfg.Classes[class], expires: f.now + expiresIn}
+	f.next++
+	f.reqs[q.id] = q
+	f.order = append(f.order, q)
+	f.handle(Event{Kind: EventRequest, Request: q.id, Class: uint8(class), ExpiresIn: expiresIn})
+	return q
+}
+
+func (f *front) list(full bool, entries ...Entry) {
+	named := map[UpstreamID]bool{}
+	for _, e := range entries {
+		named[e.ID] = true
+		u := f.ups[e.ID]
+		if u == nil {
+			u = &told{}
+			f.ups[e.ID] = u
+			f.upIDs = append(f.upIDs, e.ID)
+		}
+		u.Entry = e
+		if u.unfit = 0; e.State != Ready {
+			u.unfit = f.now
+		}
+	}
+	kind := EventListDelta
+	if full {
+		kind = EventListFull
+		for id, u := range f.ups {
+			if !named[id] {
+				u.unfit = f.now
+			}
+		}
+	}
+	f.handle(Event{Kind: kind, List: entries})
+}
+
+// end ends one attempt with an outcome.
+func (f *front) end(q *asked, n int, how Outcome) {
+	tr := q.tries[n]
+	tr.over, tr.ranOver = true, how.NeverRan()
+	if how == OK {
+		q.done = true
+	}
+	f.handle(Event{Kind: EventOutcome, Request: q.id, Attempt: n, Upstream: tr.up, Outcome: how,
+		Spent: f.now - tr.sent, Done: q.done})
+}
+
+// step lets one tick pass.
+func (f *front) step() {
+	f.now += f.cfg.Tick
+	due := f.bells
+	f.bells = nil
+	for _, x := range due {
+		if x.at <= f.now {
+			f.handle(Event{Kind: EventTimer, Cookie: x.cookie})
+		} else {
+			f.bells = append(f.bells, x)
+		}
+	}
+	kept := f.order[:0]
+	for _, q := range f.order {
+		open := false
+		for n := 0; n < len(q.tries); n++ {
+			if tr := q.tries[n]; !tr.over && tr.ends <= f.now {
+				f.end(q, n, tr.how)
+			}
+		}
+		for _, tr := range q.tries {
+			open = open || !tr.over
+		}
+		if !q.done && f.now > q.expires+2*f.cfg.Tick {
+			f.fail("request %d has had no answer", q.id)
+		}
+		if !q.done || open {
+			kept = append(kept, q)
+		} else {
+			delete(f.reqs, q.id)
+		}
+	}
+	f.order = kept
+}
+
+func testConfig() Config {
+	return Config{
+		Replicas: 2, Tick: 5, StartCapacity: 0.2, ColdFor: 10000, FallMultiple: 3, FallFor: 1500,
+		MaxAttempts: 4, CanCancel: true, MaxRetryAfter: 2000, LatencyColumn: -1, OverShareWorth: 0.1,
+		Classes: []Class{
+			{Aim: 800, Deadline: 2000, Worth: 12, Effect: Safe},
+			{Aim: 1200, Deadline: 3000, Worth: 1, Effect: Unsafe},
+			{Aim: 2500, Deadline: 6000, Worth: 1, Effect: Keyed, Group: GroupZone, Window: 700},
+			{Aim: 1000, Deadline: 3000, Worth: 2, Effect: Keyed, Group: GroupCell, Window: 5000},
+			{Aim: 1000, Deadline: 3000, Worth: 2, Effect: Keyed, Group: GroupAll, Window: 900},
+		},
+	}
+}
+
+func entries(n int) []Entry {
+	var out []Entry
+	for i := range n {
+		out = append(out, Entry{ID: UpstreamID(100 + 7*i), Zone: uint16(i % 2), Cell: uint16(i % 3), State: Ready})
+	}
+	return out
+}
+
+// churn runs a seeded stream of requests, outcomes and list news through the checker.
+func churn(t *testing.T, cfg Config, seed uint64) *front {
+	f := newFront(t, cfg, seed)
+	all := entries(7)
+	f.list(true, all...)
+	for range 4000 {
+		for f.rng.Float64() < 0.4 {
+			f.submit(f.rng.IntN(len(cfg.Classes)), []Millis{3, 40, 300, 1000, 3000}[f.rng.IntN(5)])
+		}
+		switch e := &all[f.rng.IntN(len(all))]; f.rng.IntN(120) {
+		case 0:
+			e.State = Draining
+			f.list(false, *e)
+		case 1:
+			e.State = Gone
+			f.list(false, *e)
+		case 2:
+			e.State, e.Started = Ready, f.now
+			f.list(false, *e)
+		case 3, 9, 10, 11, 12:
+			e.State = Ready
+			f.list(false, *e)
+		case 4:
+			f.list(true, all[:1+f.rng.IntN(len(all))]...)
+		case 5:
+			f.list(true)
+		case 6:
+			f.list(true, all...)
+		case 7:
+			if len(f.order) > 0 {
+				q := f.order[f.rng.IntN(len(f.order))]
+				if q.done = true; f.reqs[q.id] == q {
+					f.handle(Event{Kind: EventLeft, Request: q.id})
+				}
+			}
+		case 8: // late and unknown: to be ignored
+			f.handle(Event{Kind: EventOutcome, Request: f.next + 1000, Outcome: OK, Done: true})
+			f.handle(Event{Kind: EventLeft, Request: f.next + 1000})
+			f.handle(Event{Kind: EventTimer, Cookie: 12345678})
+			f.handle(Event{Kind: EventListDelta, List: []Entry{{ID: 99999, State: Gone}}})
+		}
+		f.step()
+	}
+	for range 4000 {
+		f.step()
+	}
+	return f
+}
+
+func TestRulesOnRandomStreams(t *testing.T) {
+	for seed := range uint64(12) {
+		cfg := testConfig()
+		cfg.SecondCopies = seed%2 == 0
+		cfg.Stage = int(seed % 3)
+		cfg.CanCancel = seed%4 != 3
+		cfg.ColdFor = 1500
+		cfg.Ask = seed%5 == 4
+		if seed%3 == 1 {
+			cfg.TenantQuota = []float64{5}
+		}
+		f := churn(t, cfg, seed)
+		if f.sent < 200 {
+			t.Errorf("seed %d: only %d attempts sent; the stream tests little", seed, f.sent)
+		}
+		if n := len(f.b.reqs); n != 0 {
+			t.Errorf("seed %d: %d requests are remembered after all have ended", seed, n)
+		}
+		if n := len(f.b.open); n != 0 {
+			t.Errorf("seed %d: %d requests are open after all have ended", seed, n)
+		}
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	a, b := churn(t, testConfig(), 5), churn(t, testConfig(), 5)
+	if len(a.log) != len(b.log) {
+		t.Fatalf("%d actions, then %d", len(a.log), len(b.log))
+	}
+	for i := range a.log {
+		if a.log[i] != b.log[i] {
+			t.Fatalf("action %d: %s, then %s", i, a.log[i], b.log[i])
+		}
+	}
+	if c := churn(t, testConfig(), 6); len(c.log) == len(a.log) {
+		t.Error("another seed changes nothing: the comparison tests little")
+	}
+}
+
+// settled returns a front whose instance has answered enough for its counts to mean something.
+func settled(t *testing.T, cfg Config, ups int) *front {
+	f := newFront(t, cfg, 3)
+	f.list(true, entries(ups)...)
+	for range 150 {
+		q := f.submit(0, 2000)
+		if len(q.tries) > 0 {
+			f.now += 20
+			f.end(q, 0, OK)
+		}
+		f.step()
+	}
+	return f
+}
+
+func TestEffects(t *testing.T) {
+	const safe, unsafe, zoneKeyed, cellKeyed, allKeyed = 0, 1, 2, 3, 4
+	tests := []struct {
+		name  string
+		class int
+		how   Outcome
+		after Millis
+		again bool
+	}{
+		{"safe after an error", safe, Errored, 50, true},
+		{"safe after a full upstream", safe, Full, 50, true},
+		{"unsafe after an error", unsafe, Errored, 50, false},
+		{"unsafe after a reset", unsafe, Reset, 50, false},
+		{"unsafe after a full upstream", unsafe, Full, 50, true},
+		{"unsafe after a failed connect", unsafe, ConnectFailed, 50, true},
+		{"keyed in its window", zoneKeyed, Errored, 50, true},
+		{"keyed after its window", zoneKeyed, Errored, 750, false},
+		{"keyed after its window, never ran", zoneKeyed, Full, 750, true},
+		{"keyed by cell", cellKeyed, Reset, 50, true},
+		{"keyed by all, in its window", allKeyed, Reset, 50, true},
+		{"keyed by all, after its window", allKeyed, Reset, 950, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			cfg := testConfig()
+			cfg.Classes[allKeyed].Aim = 2000
+			f := settled(t, cfg, 12)
+			q := f.submit(tt.class, 3000)
+			if len(q.tries) != 1 {
+				t.Fatalf("%d attempts at once", len(q.tries))
+			}
+			f.now += tt.after
+			f.end(q, 0, tt.how)
+			if again := len(q.tries) == 2; again != tt.again {
+				t.Errorf("sent again: %v, want %v", again, tt.again)
+			}
+			if !tt.again && !q.done {
+				t.Error("given up on without a final answer")
+			}
+		})
+	}
+}
+
+func TestNoUpstream(t *testing.T) {
+	for name, list := range map[string][]Entry{
+		"none":     nil,
+		"gone":     {{ID: 1, State: Gone}},
+		"draining": {{ID: 1, State: Draining}, {ID: 2, State: Draining}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFront(t, testConfig(), 1)
+			f.list(true, list...)
+			q := f.submit(1, 2000)
+			if !q.done || len(q.tries) > 0 {
+				t.Errorf("done %v after %d attempts; want a refusal at once", q.done, len(q.tries))
+			}
+		})
+	}
+}
+
+// All copies together must stay under the budget; each keeps to the cold share of what a warm one gets.
+func TestColdGetsItsShare(t *testing.T) {
+	cfg := testConfig()
+	f := settled(t, cfg, 6)
+	all := entries(6)
+	all[0].Started = f.now
+	f.list(false, all[0])
+	sends := map[UpstreamID]int{}
+	for range 300 {
+		q := f.submit(0, 2000)
+		for _, tr := range q.tries {
+			sends[tr.up]++
+		}
+		if len(q.tries) > 0 {
+			f.end(q, 0, OK)
+		}
+		f.step()
+	}
+	warm := float64(sends[all[2].ID]+sends[all[4].ID]) / 2
+	if got := float64(sends[all[0].ID]); got > warm*0.4+2 || warm < 50 {
+		t.Errorf("%v sends to the cold upstream, %v to a warm one", got, warm)
+	}
+}
+
+// A copy that has just started beside a fleet of cold upstreams knows no rate to go by.
+func TestAllColdFreshCopy(t *testing.T) {
+	f := newFront(t, testConfig(), 9)
+	all := entries(6)
+	for i := range all {
+		all[i].Started = f.now
+	}
+	f.list(true, all...)
+	for range 300 {
+		f.submit(0, 2000)
+		f.step()
+	}
+	if f.sent > 6*4 || f.sent == 0 {
+		t.Errorf("%d sends to six cold upstreams in one window, want a few", f.sent)
+	}
+}
