--- a/balance/balance.go
+++ b/balance/balance.go
@@ -277,7 +277,7 @@
 	limitGain  = 0.7   // a round trip of late answers about halves a limit
 	usedShare  = 0.8   // a limit rises only while this much of it is in use
 	startGain  = 0.2   // a fifth more each round trip at the start: slower than outcomes come back
-	limitStart = 2.0   // a limit before anything is known: two cores' worth of one copy alone
+	limitStart = 6.0   // of all copies together, before anything is known: three for each of two cores
 	limitLeast = 0.5   // of all copies together: a crowded upstream may need to be nearly idle to recover
 	holdShare  = 0.2   // longest hold, as a share of the aim: waits should mostly end in an answer
 )
--- a/balance/state.go
+++ b/balance/state.go
@@ -83,7 +83,8 @@
 	for i := range b.window {
 		b.window[i] = make([]count, len(cfg.Classes))
 	}
-	b.zones[0].limit, b.zones[1].limit = limitStart, limitStart
+	start := limitStart / float64(max(1, cfg.Replicas))
+	b.zones[0].limit, b.zones[1].limit = start, start
 	for _, q := range cfg.TenantQuota {
 		b.tenants = append(b.tenants, q/float64(max(1, cfg.Replicas)))
 	}
