--- a/balance/balance.go
+++ b/balance/balance.go
@@ -276,6 +276,7 @@
 	tookGain   = 0.05  // some twenty outcomes make the mean
 	limitGain  = 0.7   // a round trip of late answers about halves a limit
 	usedShare  = 0.8   // a limit rises only while this much of it is in use
+	limitAdd   = 0.5   // attempts a round trip
 	startGain  = 0.2   // a fifth more each round trip at the start: slower than outcomes come back
 	limitStart = 6.0   // of all copies together, before anything is known: three for each of two cores
 	limitLeast = 0.5   // of all copies together: a crowded upstream may need to be nearly idle to recover
@@ -361,7 +362,7 @@
 		b.calm += (b.took.value - b.calm) * calmRise
 	}
 	want := math.Sqrt(max(b.calm, calmLeast) * lateMean)
-	step := limitGain * (want - took) / max(1, z.weight)
+	step := (limitGain*(want-took) + limitAdd/max(1, z.limit*z.weight)) / max(1, z.weight)
 	switch {
 	case b.took.value > want && z.served.n > minRequests:
 		z.grown = true
