--- a/balance/balance.go
+++ b/balance/balance.go
@@ -277,10 +277,11 @@
 	limitGain  = 0.7   // a round trip of late answers about halves a limit
 	usedShare  = 0.8   // a limit rises only while this much of it is in use
 	limitAdd   = 0.5   // attempts a round trip
-	startGain  = 0.2   // a fifth more each round trip at the start: slower than outcomes come back
-	limitStart = 6.0   // of all copies together, before anything is known: three for each of two cores
-	limitLeast = 0.5   // of all copies together: a crowded upstream may need to be nearly idle to recover
-	holdShare  = 0.2   // longest hold, as a share of the aim: waits should mostly end in an answer
+	nearWant   = 1.3
+	startGain  = 0.2 // a fifth more each round trip at the start: slower than outcomes come back
+	limitStart = 6.0 // of all copies together, before anything is known: three for each of two cores
+	limitLeast = 0.5 // of all copies together: a crowded upstream may need to be nearly idle to recover
+	holdShare  = 0.2 // longest hold, as a share of the aim: waits should mostly end in an answer
 )
 
 // room reports whether a request need not be held. With no upstream at all there is nothing to wait for.
@@ -362,7 +363,10 @@
 		b.calm += (b.took.value - b.calm) * calmRise
 	}
 	want := math.Sqrt(max(b.calm, calmLeast) * lateMean)
-	step := (limitGain*(want-took) + limitAdd/max(1, z.limit*z.weight)) / max(1, z.weight)
+	step := limitGain * (want - took) / max(1, z.weight)
+	if b.took.value < nearWant*want {
+		step += limitAdd / (max(1, z.limit*z.weight) * max(1, z.weight))
+	}
 	switch {
 	case b.took.value > want && z.served.n > minRequests:
 		z.grown = true
