--- a/balance/balance.go
+++ b/balance/balance.go
@@ -170,7 +170,6 @@
 func (b *Balancer) tick() {
 	b.sweep()
 	dt := b.now - b.lastTick
-	b.calm += max(0, b.took.value-b.calm) * min(1, dt/calmFor)
 	b.lastTick = b.now
 	b.refillTenants(dt)
 	b.checkHealth()
@@ -271,18 +270,16 @@
 // Hold: at the first tier, a short wait under an in-flight limit learned from own outcomes.
 
 const (
-	lateMean   = 0.5     // mean share of the aims taken at which a good part of the answers is late
-	calmLeast  = 0.05    // below this share of the aim a service time is no measure of queues
-	calmFor    = 40000.0 // ms in which a lasting change of the work is taken as the new calm; by time, so that all copies agree
-	tookGain   = 0.05    // some twenty outcomes make the mean
-	limitGain  = 0.7     // a round trip of late answers about halves a limit
-	usedShare  = 0.8     // a limit rises only while this much of it is in use
-	limitAdd   = 0.5     // attempts a round trip
-	nearWant   = 1.3
-	startGain  = 0.2 // a fifth more each round trip at the start: slower than outcomes come back
-	limitStart = 6.0 // of all copies together, before anything is known: three for each of two cores
-	limitLeast = 0.5 // of all copies together: a crowded upstream may need to be nearly idle to recover
-	holdShare  = 0.2 // longest hold, as a share of the aim: waits should mostly end in an answer
+	lateMean   = 0.5   // mean share of the aims taken at which a good part of the answers is late
+	calmLeast  = 0.05  // below this share of the aim a service time is no measure of queues
+	calmRise   = 0.001 // a lasting change of the work is taken as the new calm after some hundred outcomes
+	tookGain   = 0.05  // some twenty outcomes make the mean
+	limitGain  = 0.7   // a round trip of late answers about halves a limit
+	usedShare  = 0.8   // a limit rises only while this much of it is in use
+	startGain  = 0.2   // a fifth more each round trip at the start: slower than outcomes come back
+	limitStart = 6.0   // of all copies together, before anything is known: three for each of two cores
+	limitLeast = 0.5   // of all copies together: a crowded upstream may need to be nearly idle to recover
+	holdShare  = 0.2   // longest hold, as a share of the aim: waits should mostly end in an answer
 )
 
 // room reports whether a request need not be held. With no upstream at all there is nothing to wait for.
@@ -361,12 +358,10 @@
 		if b.calm == 0 || b.took.value < b.calm {
 			b.calm = b.took.value
 		}
+		b.calm += (b.took.value - b.calm) * calmRise
 	}
 	want := math.Sqrt(max(b.calm, calmLeast) * lateMean)
 	step := limitGain * (want - took) / max(1, z.weight)
-	if b.took.value < nearWant*want {
-		step += limitAdd / (max(1, z.limit*z.weight) * max(1, z.weight))
-	}
 	switch {
 	case b.took.value > want && z.served.n > minRequests:
 		z.grown = true
