Load reports no longer weigh upstreams

Cause: a report is late and one costly request makes a sound upstream look slow to every copy at once, so the rest was crowded.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -517,10 +517,9 @@
 	badShare     = 0.5 // of the upstreams at most may be left out; if more look bad, they are not the cause
 	hangTimes    = 4.0 // usual service times without any answer that make a hang
 	hangLeast    = 300.0
-	slowTimes    = 2.0    // service time against the fleet's from which an upstream counts as slow
-	slowMin      = 8      // own outcomes needed to call it slow
-	stretchMost  = 4.0    // one costly request must not make an upstream look slow
-	reportFor    = 3000.0 // ms for which a report is believed
+	slowTimes    = 2.0 // service time against the fleet's from which an upstream counts as slow
+	slowMin      = 8   // own outcomes needed to call it slow
+	stretchMost  = 4.0 // one costly request must not make an upstream look slow
 	slowFade     = 0.01
 )
 
@@ -535,9 +534,6 @@
 // judge takes from an outcome what it says of its upstream, its class and its zone.
 func (b *Balancer) judge(r *request, a *attempt, e *Event) {
 	u := a.up
-	if c := b.cfg.LatencyColumn; c >= 0 && c < len(e.Report) {
-		u.reported = float64(e.Report[c])
-	}
 	z := &b.zones[b.group(u)]
 	switch e.Outcome {
 	case OK:
@@ -611,17 +607,8 @@
 			}
 		}
 	}
-	reported, n := 0.0, 0.0
-	for _, u := range b.list {
-		if u.State == Ready && u.reported > 0 {
-			reported, n = reported+math.Log(u.reported), n+1
-		}
-	}
 	for _, u := range b.list {
 		u.stretch.fade(1, slowFade)
-		if b.now-u.answered > reportFor {
-			u.reported = 0
-		}
 		if u.hung && u.inflight == 0 { // all its attempts have ended without an answer: try again later
 			u.hung = false
 			b.eject(u)
@@ -630,9 +617,6 @@
 		if u.stretch.n >= slowMin && u.stretch.value > slowTimes {
 			u.slow = u.stretch.value
 		}
-		if n > 2 && u.reported > slowTimes*math.Exp(reported/n) {
-			u.slow = max(u.slow, u.reported/math.Exp(reported/n))
-		}
 	}
 }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -145,7 +145,6 @@
 	hung     bool
 	answered Millis
 	stretch  mean    // own service times against the class's usual
-	reported float64 // service time it reports
 	slow     float64 // 1, or how many times slower than the fleet
 }
 
