--- a/balance/api.go
+++ b/balance/api.go
@@ -50,6 +50,7 @@
 type Config struct {
 	Replicas       int // instances like this one, itself included
 	Stage          int // the tier this instance sends to, 0 being the first
+	Tiers          int // how many there are
 	Zone           uint16
 	Classes        []Class
 	TenantQuota    []float64 // requests a second over all replicas, by tenant; 0 is no limit
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -96,7 +96,7 @@
 	case e.Done && !wasDone:
 		b.conclude(r)
 	case !r.done && r.out == 0:
-		b.retryOrGiveUp(r, a)
+		b.retryOrGiveUp(r, a, e)
 	}
 	if r.done && r.out == 0 {
 		delete(b.reqs, r.id)
@@ -660,17 +660,24 @@
 const (
 	retryShare = 0.1 // of recent requests may be retries
 	maxTries   = 3   // of one request
+	ownError   = 0.2 // an error within this share of the usual service time is the upstream's own
 )
 
 // retryOrGiveUp decides what becomes of a request whose last attempt out ended without an answer.
-func (b *Balancer) retryOrGiveUp(r *request, a *attempt) {
-	if b.mayRetry(r, a) {
+func (b *Balancer) retryOrGiveUp(r *request, a *attempt, e *Event) {
+	if b.mayRetry(r, a) && !b.fromBehind(r, e) {
 		b.sendOrGiveUp(r)
 	} else {
 		b.giveUp(r)
 	}
 }
 
+// fromBehind reports whether an error seems to come from a tier behind the upstream: there is one, and the
+// upstream had time to call it. The copy right above that failure has tried again already.
+func (b *Balancer) fromBehind(r *request, e *Event) bool {
+	return e.Outcome == Errored && b.cfg.Stage+1 < b.cfg.Tiers && e.Spent > ownError*b.usual[r.class].value
+}
+
 // mayRetry reports whether another attempt of a request is allowed and of use.
 func (b *Balancer) mayRetry(r *request, a *attempt) bool {
 	if len(r.attempts) >= min(maxTries, b.cfg.MaxAttempts) || b.retries+1 > retryShare*b.total.requests {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -435,3 +435,29 @@
 		t.Error("the stream is remembered after its end")
 	}
 }
+
+// The copy right above a failure tries again; further up that would multiply the load of a failing tier.
+func TestErrorsFromBehindAreNotRetried(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		tiers int
+		after Millis
+		again bool
+	}{
+		{"last tier", 1, 100, true},
+		{"a tier behind, late", 2, 100, false},
+		{"a tier behind, at once", 2, 1, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			cfg := testConfig()
+			cfg.Tiers = tt.tiers
+			f := settled(t, cfg, 8)
+			q := f.submit(0, 2000)
+			f.now += tt.after
+			f.end(q, 0, Errored)
+			if again := len(q.tries) == 2; again != tt.again {
+				t.Errorf("sent again: %v, want %v", again, tt.again)
+			}
+		})
+	}
+}
--- a/cmd/benchlink/config.go
+++ b/cmd/benchlink/config.go
@@ -13,6 +13,7 @@
 	out := balance.Config{
 		Replicas:       c.Int("replicas_of_me"),
 		Stage:          int(c.NumOr("stage", 0)),
+		Tiers:          max(1, len(c.List("tiers"))),
 		Zone:           uint16(c.Int("zone")),
 		OverShareWorth: c.NumOr("over_share_worth", 1),
 		Ask:            choice(c, "discovery", map[string]bool{"push": false, "ask": true}),
--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -177,7 +177,7 @@
 		t.Errorf("%+v", cfg)
 	}
 	cfg, err = config([]byte(settings("tenants=")))
-	if err != nil || len(cfg.TenantQuota) != 0 {
+	if err != nil || len(cfg.TenantQuota) != 0 || cfg.Tiers != 1 {
 		t.Errorf("%v %+v", err, cfg)
 	}
 }
