Failures in a row count as in flight; errors from behind are not the upstream's own

Cause: half the servers dead but listed; the few beyond the bound of ejections failed at once, looked idle and won every comparison.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -471,10 +471,10 @@
 	b.cand = kept
 }
 
-// load is what two choices compare: own in flight, weighed only for upstreams that are cold or stand
-// out as slow.
+// load is what two choices compare: own in flight, weighed only for upstreams that are cold or stand out
+// as slow. Failures in a row count too: a dead upstream fails fast, looks idle and draws all traffic.
 func (b *Balancer) load(u *upstream) float64 {
-	return float64(u.inflight+1) * u.slow / b.warmth(u)
+	return float64(u.inflight+failLoad*u.fails+1) * u.slow / b.warmth(u)
 }
 
 // sendOrGiveUp sends the next attempt of a request, or gives it up if nothing can take it.
@@ -511,6 +511,7 @@
 // Health.
 
 const (
+	failLoad     = 2      // attempts in flight that each failure in a row counts as
 	failsToEject = 3      // failures in a row
 	ejectFor     = 2000.0 // ms of the first ejection; doubles up to ejectMost
 	ejectMost    = 16000.0
@@ -551,7 +552,7 @@
 		z.served.add(0, 0.05)
 	case Errored, ConnectFailed, Reset, TimedOut:
 		z.served.add(0, 0.05)
-		if e.Outcome != TimedOut || e.Spent > hangTimes*b.service.value {
+		if !b.fromBehind(r, e) && (e.Outcome != TimedOut || e.Spent > hangTimes*b.service.value) {
 			u.fails++
 		}
 		if u.fails >= failsToEject || u.trial || u.fails >= 2 && e.Outcome == ConnectFailed {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -461,3 +461,50 @@
 		})
 	}
 }
+
+// Half of the fleet lost at once: what could not be ejected failed fast, looked idle and drew the traffic.
+func TestDeadUpstreamsDoNotDrawTraffic(t *testing.T) {
+	cfg := testConfig()
+	f := settled(t, cfg, 10)
+	dead := map[UpstreamID]bool{}
+	for i, u := range f.b.list {
+		dead[u.id] = i < 7 // more than may be left out
+	}
+	lost := 0
+	const asked = 400
+	for range asked {
+		q := f.submit(0, 2000)
+		for n := 0; n < len(q.tries) && !q.done; n++ {
+			if dead[q.tries[n].up] {
+				f.end(q, n, ConnectFailed)
+				lost++
+			} else {
+				q.tries[n].ends, q.tries[n].how = f.now+60, OK
+			}
+		}
+		f.step()
+	}
+	if lost > asked/12 {
+		t.Errorf("%d attempts went to dead upstreams, for %d requests", lost, asked)
+	}
+}
+
+// What fails behind an upstream is not its own failure.
+func TestErrorsFromBehindDoNotEject(t *testing.T) {
+	cfg := testConfig()
+	cfg.Tiers = 2
+	f := settled(t, cfg, 6)
+	for range 60 {
+		q := f.submit(0, 2000)
+		f.now += 60
+		if len(q.tries) > 0 {
+			f.end(q, 0, Errored)
+		}
+		f.step()
+	}
+	for _, u := range f.b.list {
+		if u.trial || u.fails > 0 {
+			t.Fatalf("upstream %d is blamed for the tier behind it", u.id)
+		}
+	}
+}
