A copy with few requests in flight works with a part of each zone group

Cause: at full size a copy at the first tier has one or two attempts in flight against 25 to 70 upstreams of its zone. Own in flight is nought or one everywhere and tells nothing, each connection goes idle and closes before it is used again, and a failing upstream is seen once in ten seconds.

Change: a copy works with as many usable upstreams of each group as it has had in flight at once of late, three at least, from a place on the ring of upstreams that follows its own number by the golden ratio. The interface gains Config.Me. Applying a list is bookkeeping and moved to state.go.

--- a/balance/api.go
+++ b/balance/api.go
@@ -48,6 +48,7 @@
 
 // Config holds the settings an instance gets at its start.
 type Config struct {
+	Me             int // the number of this instance among its like, from 0
 	Replicas       int // instances like this one, itself included
 	Stage          int // the tier this instance sends to, 0 being the first
 	Tiers          int // how many there are
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,9 +6,7 @@
 
 package balance
 
-import (
-	"math"
-)
+import "math"
 
 const (
 	tickEvery   = 100.0 // ms between housekeeping rounds: a fifth of a bucket, fast against an aim
@@ -175,6 +173,7 @@
 	b.checkHealth()
 	b.warmUp(dt)
 	b.weigh()
+	b.choosePart()
 	if b.now >= b.nextZone {
 		b.adjustSpill()
 	}
@@ -427,12 +426,18 @@
 	return nil
 }
 
-// twoChoices takes, of two random upstreams of a group, the one with less of this copy's in flight.
+// twoChoices takes, of two random upstreams of a group, the one with less of this copy's in flight. Where
+// none of this copy's part of the group will do, as for the repeat of a keyed request, it is the whole group.
 func (b *Balancer) twoChoices(r *request, group int, ok func(*upstream, *Balancer) bool) *upstream {
-	b.cand = b.cand[:0]
-	for _, u := range b.list {
-		if b.group(u) == group && ok(u, b) && !r.tried(u) && b.mayRepeat(r, u) && b.coldAllows(u) {
-			b.cand = append(b.cand, u)
+	for _, part := range [...][]*upstream{b.zones[group].members, b.list} {
+		b.cand = b.cand[:0]
+		for _, u := range part {
+			if b.group(u) == group && ok(u, b) && !r.tried(u) && b.mayRepeat(r, u) && b.coldAllows(u) {
+				b.cand = append(b.cand, u)
+			}
+		}
+		if len(b.cand) > 0 {
+			break
 		}
 	}
 	b.boundLoad()
@@ -455,6 +460,42 @@
 	return x
 }
 
+// Part: a copy that has few requests in flight works with a part of each group only. Spread over all of a
+// large fleet, its own in flight would be nought or one everywhere and tell nothing, and each connection
+// would go idle and close before it is used again.
+
+const (
+	partLeast = 3.0  // upstreams: two to choose from when one is left out
+	partFade  = 0.97 // a tick: what was in flight at the peak is forgotten in some three seconds
+)
+
+// choosePart takes, for each zone group, as many usable upstreams as this copy has had in flight at once of
+// late. Copies start at places that follow each other by the golden ratio round the same ring of upstreams:
+// any number of copies, and any regular choice of them, then lies evenly on it.
+func (b *Balancer) choosePart() {
+	b.peak = max(b.peak*partFade, float64(b.zones[0].inflight+b.zones[1].inflight))
+	size, place := max(partLeast, b.peak), math.Mod(float64(b.cfg.Me)*math.Phi, 1)
+	for g := range b.zones {
+		b.cand = b.cand[:0]
+		for _, u := range b.list {
+			if u.State != Gone && b.group(u) == g {
+				b.cand = append(b.cand, u)
+			}
+		}
+		z, n, got := &b.zones[g], len(b.cand), 0.0
+		z.members = z.members[:0]
+		for i := 0; i < n && got < size; i++ {
+			u := b.cand[(i+int(place*float64(n)))%n]
+			if u.possible(b) {
+				z.members = append(z.members, u)
+			}
+			if u.usable(b) { // those that fail, drain or are cold are made up for
+				got += b.warmth(u)
+			}
+		}
+	}
+}
+
 // boundLoad leaves among the candidates only those at or under their mean load. Two choices alone let the
 // fullest of a few upstreams run far above the mean, and one that is crowded gets less done.
 func (b *Balancer) boundLoad() {
@@ -503,6 +544,9 @@
 	}
 	b.zones[b.group(u)].inflight++
 	u.inflight++
+	if float64(b.zones[0].inflight+b.zones[1].inflight) > b.peak {
+		b.choosePart()
+	}
 	u.sends++
 	u.tokens--
 	b.act(Action{Kind: ActSend, Request: r.id, Upstream: u.id, After: after})
@@ -624,36 +668,9 @@
 // onList takes in news of the upstreams. Nothing new goes to one that is draining or gone, at once.
 func (b *Balancer) onList(list []Entry, full bool) {
 	b.askDelay = 1000
-	if full {
-		for _, u := range b.list {
-			u.State = Gone
-		}
-	}
-	for _, e := range list {
-		u := b.ups[e.ID]
-		if u == nil {
-			if e.State == Gone {
-				continue
-			}
-			u = &upstream{id: e.ID, slow: 1, tokens: b.rng.Float64()}
-			b.ups[e.ID] = u
-			b.list = append(b.list, u)
-		} else if e.Started > u.Started { // a new process under the old id
-			*u = upstream{id: u.id, slow: 1, inflight: u.inflight, tokens: b.rng.Float64()}
-		}
-		u.Entry, u.zone = e, e.Zone
-	}
-	kept := b.list[:0]
-	for _, u := range b.list {
-		if u.State == Gone && u.inflight == 0 {
-			delete(b.ups, u.id)
-		} else {
-			kept = append(kept, u)
-		}
-	}
-	clear(b.list[len(kept):])
-	b.list = kept
+	b.applyList(list, full)
 	b.weigh()
+	b.choosePart()
 }
 
 // Retry.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -508,3 +508,76 @@
 		}
 	}
 }
+
+// A copy of a large fleet must come back to the same few upstreams: spread over all of them, its counts
+// told nothing and every request paid for a new connection.
+func TestPartOfALargeFleet(t *testing.T) {
+	for _, tt := range []struct {
+		name           string
+		inflight, want int
+	}{
+		{"few in flight", 1, 3}, {"as many as in flight", 20, 20}, {"all of them", 500, 100},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := New(testConfig(), 1, 0)
+			b.zones[0].inflight = tt.inflight
+			b.onList(entries(200), true) // half of them in this zone
+			if got := len(b.zones[0].members); got != tt.want {
+				t.Errorf("works with %d upstreams, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// What is left out of a part is made up for, and news of one upstream leaves the rest of the part in place.
+func TestPartWidensAndIsStable(t *testing.T) {
+	b := New(testConfig(), 1, 0)
+	b.zones[0].inflight = 5
+	b.onList(entries(100), true)
+	before := append([]*upstream(nil), b.zones[0].members...)
+	before[0].ejected, before[1].hung = 1000, true
+	b.choosePart()
+	if got := len(b.zones[0].members); got != 7 {
+		t.Errorf("two of five are left out: works with %d, want 7", got)
+	}
+	before[0].ejected, before[1].hung = 0, false
+	b.onList([]Entry{{ID: before[2].id, State: Draining}}, false)
+	kept := 0
+	for _, u := range b.zones[0].members {
+		for _, v := range before {
+			if u == v {
+				kept++
+			}
+		}
+	}
+	if kept < 4 || len(b.zones[0].members) != 5 {
+		t.Errorf("one of five drains: %d members, %d of them as before", len(b.zones[0].members), kept)
+	}
+}
+
+// Parts must cover the fleet evenly, also when only every second or third copy is in this zone.
+func TestPartsLieEvenly(t *testing.T) {
+	const copies, ups = 240, 50
+	for _, step := range []int{1, 2, 3} {
+		used := map[UpstreamID]int{}
+		for me := 0; me < copies*step; me += step {
+			cfg := testConfig()
+			cfg.Me = me
+			b := New(cfg, uint64(me), 0)
+			b.onList(entries(2*ups), true) // half of them in this zone
+			for _, u := range b.zones[0].members {
+				used[u.id]++
+			}
+		}
+		least, most := copies, 0
+		for _, e := range entries(2 * ups) {
+			if e.Zone != 0 {
+				continue
+			}
+			least, most = min(least, used[e.ID]), max(most, used[e.ID])
+		}
+		if mean := copies * int(partLeast) / ups; least < mean*8/10 || most > mean*12/10 {
+			t.Errorf("every copy in %d: upstreams are in %d to %d parts, mean %d", step, least, most, mean)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -3,7 +3,9 @@
 // The state an instance keeps, and its bookkeeping. No decision is made here: those are in balance.go.
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 )
 
 // request is one request this instance has taken, until its last attempt has ended.
@@ -69,6 +71,7 @@
 	zones    [2]zoneView
 	nextZone Millis
 
+	peak     float64 // most attempts in flight of late
 	warmRate float64 // own sends a second to one warm upstream
 	lastTick Millis
 	lastOK   Millis
@@ -134,6 +137,7 @@
 type upstream struct {
 	Entry
 	id       UpstreamID
+	place    uint64 // in the order of the list: the same at all copies, and mixed
 	zone     uint16
 	inflight int
 	sends    float64 // since the last tick
@@ -153,9 +157,10 @@
 	stretch  mean
 	served   mean
 	inflight int
-	weight   float64 // usable upstreams, in units of warm ones
-	limit    float64 // attempts in flight per unit of weight
-	grown    bool    // the limit has met its first sign of a queue
+	members  []*upstream // the part of the group that this copy works with
+	weight   float64     // usable upstreams, in units of warm ones
+	limit    float64     // attempts in flight per unit of weight
+	grown    bool        // the limit has met its first sign of a queue
 }
 
 // mean is an average that forgets: exact over its first values, then exponential.
@@ -230,3 +235,42 @@
 	clear(b.open[len(kept):])
 	b.open = kept
 }
+
+// applyList brings the upstreams up to what a list says. A new process under an old id is a new upstream.
+func (b *Balancer) applyList(list []Entry, full bool) {
+	if full {
+		for _, u := range b.list {
+			u.State = Gone
+		}
+	}
+	for _, e := range list {
+		u := b.ups[e.ID]
+		switch {
+		case u == nil && e.State == Gone:
+			continue
+		case u == nil:
+			u = &upstream{id: e.ID, place: mix(e.ID), slow: 1, tokens: b.rng.Float64()}
+			b.ups[e.ID] = u
+			b.list = append(b.list, u)
+		case e.Started > u.Started:
+			*u = upstream{id: u.id, place: u.place, slow: 1, inflight: u.inflight, tokens: b.rng.Float64()}
+		}
+		u.Entry, u.zone = e, e.Zone
+	}
+	b.list = slices.DeleteFunc(b.list, func(u *upstream) bool {
+		if u.State != Gone || u.inflight > 0 {
+			return false
+		}
+		delete(b.ups, u.id)
+		return true
+	})
+	slices.SortFunc(b.list, func(x, y *upstream) int { return cmp.Compare(x.place, y.place) })
+}
+
+// mix spreads ids evenly, so that their order tells nothing.
+func mix(id UpstreamID) uint64 {
+	x := uint64(id) + 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/cmd/benchlink/config.go
+++ b/cmd/benchlink/config.go
@@ -11,6 +11,7 @@
 func config(text []byte) (balance.Config, error) {
 	c := simwire.ParseConf(text)
 	out := balance.Config{
+		Me:             c.Int("me"),
 		Replicas:       c.Int("replicas_of_me"),
 		Stage:          int(c.NumOr("stage", 0)),
 		Tiers:          max(1, len(c.List("tiers"))),
--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -14,7 +14,7 @@
 // settings of a made-up deployment with all that this program needs.
 func settings(change ...string) string {
 	lines := map[string]string{
-		"replicas_of_me": "2", "zone": "0", "stage": "0", "discovery": "push", "granularity_ms": "5.0",
+		"me": "1", "replicas_of_me": "2", "zone": "0", "stage": "0", "discovery": "push", "granularity_ms": "5.0",
 		"invariants.start_capacity": "0.2", "invariants.cold_ms": "9000.0", "invariants.fall_multiple": "3.0",
 		"invariants.fall_ms": "1500.0", "limits.max_attempts": "4", "limits.cancel": "true",
 		"limits.second_copies": "true", "limits.retry_after": "true", "limits.max_retry_after_ms": "2000.0",
