Room below one attempt is shared out in time; calm known from the first outcome

Cause 1: a copy's in-flight limit was rounded up to a whole attempt in each group, at 300 to 600 copies more than a thousand where the fleet takes a few hundred: the limit could not bind and servers were overdriven. Now the broken part of the room is there for as large a share of the time (drawn anew each tick). Then calmRise 0.001 -> 0.004 and limitGain 0.7 -> 1.4: a copy that sees few outcomes has few steps.

A held request whose time is up is no longer sent.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -174,6 +174,9 @@
 	b.warmUp(dt)
 	b.weigh()
 	b.choosePart()
+	for g := range b.zones {
+		b.zones[g].dither = b.rng.Float64()
+	}
 	if b.now >= b.nextZone {
 		b.adjustSpill()
 	}
@@ -271,13 +274,14 @@
 const (
 	lateMean   = 0.5   // mean share of the aims taken at which a good part of the answers is late
 	calmLeast  = 0.05  // below this share of the aim a service time is no measure of queues
-	calmRise   = 0.001 // a lasting change of the work is taken as the new calm after some hundred outcomes
+	calmRise   = 0.004 // a lasting change of the work is taken as the new calm after some hundred outcomes
 	tookGain   = 0.05  // some twenty outcomes make the mean
-	limitGain  = 0.7   // a round trip of late answers about halves a limit
+	limitGain  = 1.4   // a round trip of late answers takes a limit down to a third or so
 	usedShare  = 0.8   // a limit rises only while this much of it is in use
 	startGain  = 0.2   // a fifth more each round trip at the start: slower than outcomes come back
 	limitStart = 6.0   // of all copies together, before anything is known: three for each of two cores
 	limitLeast = 0.5   // of all copies together: a crowded upstream may need to be nearly idle to recover
+	roomLeast  = 0.1   // attempts of one copy: one in ten service times, so that it still learns
 	holdShare  = 0.35  // longest hold, as a share of the aim: three to four waits in five end in a send
 )
 
@@ -287,13 +291,14 @@
 }
 
 // groupRoom reports whether a zone group is under its limit. Inner tiers have none: what they held
-// back would keep its slot in the tier above.
+// back would keep its slot in the tier above. Of a room that is no whole number the rest is there for as
+// large a share of the time: rounded up, hundreds of copies with less than one each overran a fleet.
 func (b *Balancer) groupRoom(g int) bool {
 	z := &b.zones[g]
 	if b.cfg.Stage > 0 {
 		return true
 	}
-	return z.weight > 0 && float64(z.inflight) < max(1, z.limit*z.weight)
+	return z.weight > 0 && float64(z.inflight)+z.dither < max(roomLeast, z.limit*z.weight)
 }
 
 // capacity is what all usable upstreams can take together, at least one attempt.
@@ -350,15 +355,15 @@
 // learnLimit moves a zone group's in-flight limit by how one of its attempts ended: the share of its aim
 // that it took, 1 for none in time. The limit settles where that share is, on average, halfway on a
 // scale of ratios between what it is without queues and late. A round trip moves it by a bounded share.
+// The calm share is known from the first outcome on: taken as nothing until many were in, it told copies
+// with one request a second for their first half minute that a quiet fleet was full.
 // Until the first sign of a queue it rises faster, so that a start neither floods nor starves.
 func (b *Balancer) learnLimit(z *zoneView, took float64) {
 	b.took.add(took, tookGain)
-	if b.took.n >= minRequests {
-		if b.calm == 0 || b.took.value < b.calm {
-			b.calm = b.took.value
-		}
-		b.calm += (b.took.value - b.calm) * calmRise
+	if b.took.n <= minRequests || b.took.value < b.calm {
+		b.calm = b.took.value
 	}
+	b.calm += (b.took.value - b.calm) * calmRise
 	want := math.Sqrt(max(b.calm, calmLeast) * lateMean)
 	step := limitGain * (want - took) / max(1, z.weight)
 	switch {
@@ -518,10 +523,11 @@
 	return float64(u.inflight+failLoad*u.fails+1) * u.slow / b.warmth(u)
 }
 
-// sendOrGiveUp sends the next attempt of a request, or gives it up if nothing can take it.
+// sendOrGiveUp sends the next attempt of a request, or gives it up if nothing can take it or, after a hold
+// whose timer comes late, nobody waits for it any more.
 func (b *Balancer) sendOrGiveUp(r *request) {
 	u := b.pick(r)
-	if u == nil {
+	if u == nil || b.now >= r.until {
 		if len(r.attempts) == 0 {
 			b.refuse(r)
 		} else {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -581,3 +581,40 @@
 		}
 	}
 }
+
+// Hundreds of copies with room for less than one attempt each must not all send one: rounded up, their room
+// was several times what the fleet could take.
+func TestRoomBelowOne(t *testing.T) {
+	for _, tt := range []struct{ limit, want float64 }{{0, roomLeast}, {0.3, 0.3}, {1.6, 1.6}, {7, 7}} {
+		const n = 4000
+		open := 0
+		b := New(testConfig(), 1, 0)
+		b.onList(entries(8), true)
+		z := &b.zones[0]
+		z.limit = tt.limit / z.weight
+		for range n {
+			b.tick()
+			for z.inflight = 0; b.groupRoom(0); z.inflight++ {
+				open++
+			}
+		}
+		if got := float64(open) / n; math.Abs(got-tt.want) > 0.05 {
+			t.Errorf("room for %.2f: %.2f may be out on average", tt.want, got)
+		}
+	}
+}
+
+// A copy that sees one outcome a second must not take a quiet fleet for a full one in its first half minute.
+func TestQuietStartKeepsTheLimit(t *testing.T) {
+	b := New(testConfig(), 1, 0)
+	b.onList(entries(8), true)
+	z := &b.zones[0]
+	start := z.limit
+	for i := range minRequests {
+		z.inflight = int(z.limit * z.weight)
+		b.learnLimit(z, 0.3+0.01*float64(i%3))
+		if z.limit < start {
+			t.Fatalf("after %d calm outcomes the limit is %.2f, from %.2f", i+1, z.limit, start)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -157,6 +157,7 @@
 	stretch  mean
 	served   mean
 	inflight int
+	dither   float64     // decides on the broken part of the room, drawn anew each tick
 	members  []*upstream // the part of the group that this copy works with
 	weight   float64     // usable upstreams, in units of warm ones
 	limit    float64     // attempts in flight per unit of weight
