Of two choices equal by own in flight, the one that reported fewer requests in hand

Change: where a deployment's answers report requests in hand, the last report of each decides such a tie; own in flight still goes first. The interface gains Event.Held.

--- a/balance/api.go
+++ b/balance/api.go
@@ -111,7 +111,7 @@
 // The events, each with the fields it fills.
 const (
 	EventRequest    EventKind = iota // Request, Class, Tenant, ExpiresIn, ClientRetry
-	EventOutcome                     // Request, Attempt, Upstream, Outcome, Spent, Done
+	EventOutcome                     // Request, Attempt, Upstream, Outcome, Spent, Done, Held
 	EventStream                      // Request, Attempt, Upstream, Spent
 	EventLeft                        // Request: the client has gone, nothing is owed any more
 	EventTimer                       // Cookie
@@ -134,6 +134,8 @@
 	ExpiresIn   Millis // time until the client gives this try up
 	Spent       Millis // time since the attempt was sent
 	Cookie      uint64
+	Reported    bool    // the upstream told Held
+	Held        float64 // requests it had in hand of late, from all instances
 	List        []Entry
 }
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -82,6 +82,9 @@
 	r.out--
 	b.zones[b.group(a.up)].inflight--
 	a.up.inflight--
+	if e.Reported {
+		a.up.held, a.up.heldAt = e.Held, b.now
+	}
 	wasDone := r.done
 	b.judge(r, a, e)
 	if !wasDone {
@@ -380,12 +383,13 @@
 // Pick: own zone first, trial shares, spill; two random choices inside.
 
 const (
-	trialShare = 0.02   // of traffic goes to the group out of favour, to learn how it fares
-	zoneEvery  = 1000.0 // ms between steps of the spill
-	zoneMin    = 10     // outcomes of a group needed to compare it
-	spillStep  = 0.1    // small enough that copies moving together do not overrun the other zone
-	slowerBy   = 1.25   // own zone slower than others by this much: spill
-	servedBy   = 0.9    // own zone's served share below this much of the others': spill
+	trialShare = 0.02    // of traffic goes to the group out of favour, to learn how it fares
+	zoneEvery  = 1000.0  // ms between steps of the spill
+	zoneMin    = 10      // outcomes of a group needed to compare it
+	spillStep  = 0.1     // small enough that copies moving together do not overrun the other zone
+	slowerBy   = 1.25    // own zone slower than others by this much: spill
+	reportFor  = 10000.0 // ms a report is of use: little traffic brings one that rarely
+	servedBy   = 0.9     // own zone's served share below this much of the others': spill
 )
 
 func (b *Balancer) group(u *upstream) int {
@@ -459,12 +463,18 @@
 		j++
 	}
 	x, y := b.cand[i], b.cand[j]
-	if b.load(y) < b.load(x) {
+	if b.load(y) < b.load(x) || b.load(y) == b.load(x) && b.heldLess(y, x) {
 		return y
 	}
 	return x
 }
 
+// heldLess reports whether x had fewer requests in hand than y, as both have told of late. It decides between
+// choices that own in flight leaves equal: one copy of hundreds has nothing out at most upstreams.
+func (b *Balancer) heldLess(x, y *upstream) bool {
+	return x.held < y.held && b.now-min(x.heldAt, y.heldAt) < reportFor
+}
+
 // Part: a copy that has few requests in flight works with a part of each group only. Spread over all of a
 // large fleet, its own in flight would be nought or one everywhere and tell nothing, and each connection
 // would go idle and close before it is used again.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -618,3 +618,34 @@
 		}
 	}
 }
+
+// One copy of hundreds has nothing out at most upstreams: of two choices it holds equal, the one that told of
+// fewer requests in hand is taken. Own in flight goes first, and an old report tells nothing.
+func TestReportsDecideBetweenEqualChoices(t *testing.T) {
+	for _, tt := range []struct {
+		name       string
+		own        int // in flight at the one with the lower report
+		age        Millis
+		least, top float64 // share of picks that must go to it
+	}{
+		{"equal, fresh", 0, 0, 1, 1}, {"own in flight first", 1, 0, 0, 0}, {"old report", 0, reportFor, 0.4, 0.6},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := New(testConfig(), 1, 0)
+			b.onList([]Entry{{ID: 1, State: Ready}, {ID: 2, State: Ready}}, true)
+			low, high := b.ups[1], b.ups[2]
+			low.held, high.held, low.heldAt, high.heldAt = 2, 9, 0, 0
+			low.inflight, b.now = tt.own, tt.age
+			const n = 1000
+			got := 0.0
+			for range n {
+				if b.twoChoices(&request{}, 0, (*upstream).usable) == low {
+					got++
+				}
+			}
+			if got/n < tt.least || got/n > tt.top {
+				t.Errorf("taken %.0f times of %d", got, n)
+			}
+		})
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 )
@@ -149,6 +150,8 @@
 	hung     bool
 	answered Millis
 	stretch  mean    // own service times against the class's usual
+	held     float64 // requests in hand, as last reported
+	heldAt   Millis  // when that was; long ago if never
 	slow     float64 // 1, or how many times slower than the fleet
 }
 
@@ -250,11 +253,12 @@
 		case u == nil && e.State == Gone:
 			continue
 		case u == nil:
-			u = &upstream{id: e.ID, place: mix(e.ID), slow: 1, tokens: b.rng.Float64()}
+			u = &upstream{id: e.ID, place: mix(e.ID), slow: 1, heldAt: math.Inf(-1), tokens: b.rng.Float64()}
 			b.ups[e.ID] = u
 			b.list = append(b.list, u)
 		case e.Started > u.Started:
-			*u = upstream{id: u.id, place: u.place, slow: 1, inflight: u.inflight, tokens: b.rng.Float64()}
+			*u = upstream{id: u.id, place: u.place, slow: 1, heldAt: math.Inf(-1), inflight: u.inflight,
+				tokens: b.rng.Float64()}
 		}
 		u.Entry, u.zone = e, e.Zone
 	}
--- a/cmd/benchlink/config.go
+++ b/cmd/benchlink/config.go
@@ -2,13 +2,15 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"salttrack/balance"
 	"salttrack/internal/simwire"
 )
 
-// config turns settings as the wire gives them into those of the module.
-func config(text []byte) (balance.Config, error) {
+// config turns settings as the wire gives them into those of the module, and finds the place of inflight
+// among the values of a load report, -1 if it is not there.
+func config(text []byte) (balance.Config, int, error) {
 	c := simwire.ParseConf(text)
 	out := balance.Config{
 		Me:             c.Int("me"),
@@ -41,7 +43,7 @@
 			out.TenantQuota = append(out.TenantQuota, c.NumOr(fmt.Sprintf("tenants.%d.quota_per_s", i), 0))
 		}
 	}
-	return out, c.Err()
+	return out, slices.Index(c.List("report.columns"), "inflight"), c.Err()
 }
 
 func class(c *simwire.Conf, at string) balance.Class {
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -22,7 +22,7 @@
 // run serves batches until the input ends.
 func run(in io.Reader, out io.Writer) error {
 	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriterSize(out, 1<<16)
-	h := host{instances: map[uint16]*balance.Balancer{}}
+	h := host{instances: map[uint16]instance{}}
 	var batch simwire.Batch
 	var reply simwire.Reply
 	for {
@@ -46,12 +46,18 @@
 
 // host holds the instances of this process. They share nothing but the lists the wire numbers.
 type host struct {
-	instances map[uint16]*balance.Balancer
+	instances map[uint16]instance
 	lists     [16][]simwire.Entry
 	event     balance.Event   // reused
 	entries   []balance.Entry // reused
 }
 
+// instance is one balancer and what the wire said of its load reports at its start.
+type instance struct {
+	*balance.Balancer
+	inflight int // the place of inflight among the values of a load report, -1 if it is not there
+}
+
 // serve handles one batch and writes its reply.
 func (h *host) serve(batch *simwire.Batch, reply *simwire.Reply) error {
 	var e simwire.Event
@@ -67,20 +73,20 @@
 			delete(h.instances, e.Balancer)
 			continue
 		case simwire.PowerOn:
-			cfg, err := config(e.Text)
+			cfg, inflight, err := config(e.Text)
 			if err != nil {
 				return fmt.Errorf("batch %d, record %d: %v", batch.Number, i, err)
 			}
-			h.instances[e.Balancer] = balance.New(cfg, e.Number, batch.Clock)
+			h.instances[e.Balancer] = instance{balance.New(cfg, e.Number, batch.Clock), inflight}
 		}
-		b := h.instances[e.Balancer]
-		if b == nil {
+		b, ok := h.instances[e.Balancer]
+		if !ok {
 			return fmt.Errorf("batch %d, record %d: unknown instance %d", batch.Number, i, e.Balancer)
 		}
-		if err := h.translate(&e); err != nil {
+		if err := h.translate(&e, b.inflight); err != nil {
 			return fmt.Errorf("batch %d, record %d: %v", batch.Number, i, err)
 		}
-		decide(b, &e, &h.event, batch.Clock, reply)
+		decide(b.Balancer, &e, &h.event, batch.Clock, reply)
 	}
 	return nil
 }
@@ -109,8 +115,9 @@
 	304: balance.ConnectFailed, 305: balance.Reset, 306: balance.Cancelled, 307: balance.Moot,
 }
 
-// translate turns an event of the wire into one of the module, in h.event.
-func (h *host) translate(e *simwire.Event) error {
+// translate turns an event of the wire into one of the module, in h.event. Inflight is the place of that
+// figure in a load report, -1 if there is none.
+func (h *host) translate(e *simwire.Event, inflight int) error {
 	h.event = balance.Event{
 		Request: balance.RequestID(e.Ticket), Upstream: balance.UpstreamID(e.Upstream),
 		Attempt: int(e.N), Class: e.Class, Tenant: e.Project, ExpiresIn: e.Expires,
@@ -126,6 +133,9 @@
 			return fmt.Errorf("unknown outcome %d", e.Verdict)
 		}
 		h.event.Outcome = o
+		if inflight >= 0 && inflight < e.NStats {
+			h.event.Reported, h.event.Held = true, float64(e.Stats[inflight])
+		}
 	case simwire.Established:
 		h.event.Kind = balance.EventStream
 	case simwire.Left:
--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -166,18 +166,18 @@
 }
 
 func TestConfig(t *testing.T) {
-	cfg, err := config([]byte(settings("discovery=ask", "tenants.count=1", "tenants.0.quota_per_s=40.5",
+	cfg, inflight, err := config([]byte(settings("report.columns=util,inflight", "discovery=ask", "tenants.count=1", "tenants.0.quota_per_s=40.5",
 		"over_share_worth=0.1", "limits.retry_after=false")))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !cfg.Ask || cfg.MaxRetryAfter != 0 || len(cfg.TenantQuota) != 1 ||
+	if inflight != 1 || !cfg.Ask || cfg.MaxRetryAfter != 0 || len(cfg.TenantQuota) != 1 ||
 		cfg.TenantQuota[0] != 40.5 || cfg.Classes[1].Effect != balance.Keyed || cfg.Classes[1].Group != balance.GroupCell ||
 		cfg.Classes[1].Window != 7000 || cfg.Classes[0].Effect != balance.Safe || cfg.OverShareWorth != 0.1 {
 		t.Errorf("%+v", cfg)
 	}
-	cfg, err = config([]byte(settings("tenants=")))
-	if err != nil || len(cfg.TenantQuota) != 0 || cfg.Tiers != 1 {
+	cfg, inflight, err = config([]byte(settings("tenants=")))
+	if err != nil || inflight != -1 || len(cfg.TenantQuota) != 0 || cfg.Tiers != 1 {
 		t.Errorf("%v %+v", err, cfg)
 	}
 }
@@ -194,3 +194,17 @@
 		t.Errorf("reply %q; want a BAIL_OUT with the panic's text", p)
 	}
 }
+
+func TestLoadReport(t *testing.T) {
+	e := simwire.Event{Code: simwire.AttemptEnd, Verdict: 100, Stats: [4]float32{0.5, 7}, NStats: 2}
+	for _, tt := range []struct {
+		at       int
+		reported bool
+		held     float64
+	}{{1, true, 7}, {-1, false, 0}, {2, false, 0}} {
+		var h host
+		if err := h.translate(&e, tt.at); err != nil || h.event.Reported != tt.reported || h.event.Held != tt.held {
+			t.Errorf("inflight at %d: %v %+v", tt.at, err, h.event)
+		}
+	}
+}
