The window of the formula keeps its minimum count on copies with little traffic

Cause: at one to four requests a second three seconds never hold 20 finished requests, so on most copies of a large fleet the formula could not act, and the tenth for retries was nil. A bucket now stays open, up to 5 s, while the window would fall under the minimum count; busy copies keep their 3 s.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -9,15 +9,16 @@
 import "math"
 
 const (
-	tickEvery   = 100.0 // ms between housekeeping rounds: a fifth of a bucket, fast against an aim
-	bucketFor   = 500.0 // ms a bucket of the window: the window slides in steps small against its length
-	buckets     = 6     // window of 3 s: long against a service time, and a swing is forgotten soon
-	minRequests = 20    // below this many finished requests a share of accepts means nothing
-	kFirst      = 1.5   // K at the first tier, the low end: shed there, before any work is done
-	kInner      = 3.0   // K further in: a refusal there wastes the work above it
-	idleShare   = 0.5   // of the in-flight limit: below it the formula does not refuse
-	worthLeast  = 1e-3  // keeps a worth of nothing finite
-	easyShare   = 0.5   // an answer within this share of its aim counts as a whole accept, then ever less
+	tickEvery   = 100.0  // ms between housekeeping rounds: a fifth of a bucket, fast against an aim
+	bucketFor   = 500.0  // ms a bucket of the window: the window slides in steps small against its length
+	bucketMost  = 5000.0 // and up to this while fewer than minRequests would be left
+	buckets     = 6      // window of 3 s: long against a service time, and a swing is forgotten soon
+	minRequests = 20     // below this many finished requests a share of accepts means nothing
+	kFirst      = 1.5    // K at the first tier, the low end: shed there, before any work is done
+	kInner      = 3.0    // K further in: a refusal there wastes the work above it
+	idleShare   = 0.5    // of the in-flight limit: below it the formula does not refuse
+	worthLeast  = 1e-3   // keeps a worth of nothing finite
+	easyShare   = 0.5    // an answer within this share of its aim counts as a whole accept, then ever less
 )
 
 // Events.
--- a/balance/state.go
+++ b/balance/state.go
@@ -52,13 +52,14 @@
 	list []*upstream // in order of first mention
 	cand []*upstream // scratch of pick
 
-	window  [buckets][]count // by class
-	sum     []count          // by class, over the window
-	total   count
-	retried [buckets]float64
-	retries float64
-	slot    int
-	slotEnd Millis
+	window    [buckets][]count // by class
+	sum       []count          // by class, over the window
+	total     count
+	retried   [buckets]float64
+	retries   float64
+	slot      int
+	slotEnd   Millis
+	slotStart Millis
 
 	tenants []float64 // quota tokens by tenant
 	usual   []mean    // service time by class
@@ -83,7 +84,7 @@
 func New(cfg Config, seed uint64, now Millis) *Balancer {
 	b := &Balancer{cfg: cfg, now: now, rng: rand.New(rand.NewPCG(seed, 0x5a17)),
 		reqs: map[RequestID]*request{}, ups: map[UpstreamID]*upstream{}, sum: make([]count, len(cfg.Classes)),
-		usual: make([]mean, len(cfg.Classes)), slotEnd: now + bucketFor, nextZone: now + zoneEvery, lastTick: now, lastOK: now, askDelay: 1000}
+		usual: make([]mean, len(cfg.Classes)), slotStart: now, slotEnd: now + bucketFor, nextZone: now + zoneEvery, lastTick: now, lastOK: now, askDelay: 1000}
 	for i := range b.window {
 		b.window[i] = make([]count, len(cfg.Classes))
 	}
@@ -117,10 +118,19 @@
 	}
 }
 
-// slide forgets the oldest bucket of the window.
+// slide ends a bucket of the window and forgets the oldest. While that would leave fewer requests than the
+// formula needs, the bucket is kept open instead, up to bucketMost.
 func (b *Balancer) slide() {
+	next, left := (b.slot+1)%buckets, b.total.requests
+	for _, w := range b.window[next] {
+		left -= w.requests
+	}
 	b.slotEnd += bucketFor
-	b.slot = (b.slot + 1) % buckets
+	if left < minRequests && b.slotEnd <= b.slotStart+bucketMost {
+		return
+	}
+	b.slotStart = b.slotEnd - bucketFor
+	b.slot = next
 	b.retries -= b.retried[b.slot]
 	b.retried[b.slot] = 0
 	b.total = count{}
