--- a/balance/balance.go
+++ b/balance/balance.go
@@ -66,7 +66,7 @@
 	switch {
 	case b.throttled(r):
 		b.refuse(r)
-	case b.room():
+	case b.room(r):
 		b.sendOrGiveUp(r)
 	default:
 		b.hold(r)
@@ -82,6 +82,7 @@
 	a.over = true
 	r.out--
 	b.zones[b.group(a.up)].inflight--
+	b.zones[b.group(a.up)].byClass[r.class]--
 	a.up.inflight--
 	if e.Reported {
 		a.up.held, a.up.heldAt = e.Held, b.now
@@ -231,7 +232,7 @@
 
 // tally counts the outcome of an attempt.
 func (b *Balancer) tally(r *request, a *attempt, e *Event) {
-	if e.Outcome == Moot || e.Outcome == Cancelled && !a.gave {
+	if e.Outcome == Moot || e.Outcome == Cancelled {
 		return
 	}
 	accept := 0.0
@@ -282,7 +283,6 @@
 	tookGain   = 0.05  // some twenty outcomes make the mean
 	limitGain  = 1.4   // a round trip of late answers takes a limit down to a third or so
 	usedShare  = 0.8   // a limit rises only while this much of it is in use
-	startGain  = 0.2   // a fifth more each round trip at the start: slower than outcomes come back
 	limitStart = 6.0   // of all copies together, before anything is known: three for each of two cores
 	limitLeast = 0.5   // of all copies together: a crowded upstream may need to be nearly idle to recover
 	roomLeast  = 0.1   // attempts of one copy: one in ten service times, so that it still learns
@@ -290,19 +290,30 @@
 )
 
 // room reports whether a request need not be held. With no upstream at all there is nothing to wait for.
-func (b *Balancer) room() bool {
-	return b.groupRoom(0) || b.groupRoom(1) || b.zones[0].weight+b.zones[1].weight == 0
+func (b *Balancer) room(r *request) bool {
+	return b.groupRoom(0, r) || b.groupRoom(1, r) || b.zones[0].weight+b.zones[1].weight == 0
 }
 
 // groupRoom reports whether a zone group is under its limit. Inner tiers have none: what they held
 // back would keep its slot in the tier above. Of a room that is no whole number the rest is there for as
 // large a share of the time: rounded up, hundreds of copies with less than one each overran a fleet.
-func (b *Balancer) groupRoom(g int) bool {
+func (b *Balancer) groupRoom(g int, r *request) bool {
 	z := &b.zones[g]
 	if b.cfg.Stage > 0 {
 		return true
 	}
-	return z.weight > 0 && float64(z.inflight)+z.dither < max(roomLeast, z.limit*z.weight)
+	return z.weight > 0 && b.ahead(z, r)+z.dither < max(roomLeast, z.limit*z.weight)
+}
+
+// ahead is how many attempts of a group count against a request's room: all of its worth or more, and those
+// worth less by the ratio. On a copy with room for one, chance would else decide who goes: requests seldom
+// wait there side by side, to be put in order of worth.
+func (b *Balancer) ahead(z *zoneView, r *request) float64 {
+	sum := 0.0
+	for c, n := range z.byClass {
+		sum += float64(n) * min(1, b.cfg.Classes[c].Worth/max(worthLeast, r.worth))
+	}
+	return sum
 }
 
 // capacity is what all usable upstreams can take together, at least one attempt.
@@ -349,7 +360,7 @@
 
 // release sends what is held while there is room.
 func (b *Balancer) release() {
-	for len(b.queue) > 0 && b.room() {
+	for len(b.queue) > 0 && b.room(b.queue[0]) {
 		r := b.queue[0]
 		b.unhold(r)
 		b.sendOrGiveUp(r)
@@ -361,7 +372,6 @@
 // scale of ratios between what it is without queues and late. A round trip moves it by a bounded share.
 // The calm share is known from the first outcome on: taken as nothing until many were in, it told copies
 // with one request a second for their first half minute that a quiet fleet was full.
-// Until the first sign of a queue it rises faster, so that a start neither floods nor starves.
 func (b *Balancer) learnLimit(z *zoneView, took float64) {
 	b.took.add(took, tookGain)
 	if b.took.n <= minRequests || b.took.value < b.calm {
@@ -370,12 +380,6 @@
 	b.calm += (b.took.value - b.calm) * calmRise
 	want := math.Sqrt(max(b.calm, calmLeast) * lateMean)
 	step := limitGain * (want - took) / max(1, z.weight)
-	switch {
-	case b.took.value > want && z.served.n > minRequests:
-		z.grown = true
-	case step > 0 && !z.grown:
-		step = startGain / max(1, z.weight)
-	}
 	if step < 0 || float64(z.inflight+1) >= usedShare*z.limit*z.weight {
 		z.limit = max(limitLeast/float64(max(1, b.cfg.Replicas)), z.limit+step)
 	}
@@ -420,7 +424,7 @@
 	if b.rng.Float64() < max(trialShare, b.spill) {
 		first = 1
 	}
-	if !b.groupRoom(first) && b.groupRoom(1-first) { // the other group takes the excess
+	if !b.groupRoom(first, r) && b.groupRoom(1-first, r) { // the other group takes the excess
 		first = 1 - first
 	}
 	for _, g := range [...]int{first, 1 - first} {
@@ -528,10 +532,10 @@
 	b.cand = kept
 }
 
-// load is what two choices compare: own in flight, weighed only for upstreams that are cold or stand out
-// as slow. Failures in a row count too: a dead upstream fails fast, looks idle and draws all traffic.
+// load is what two choices compare: own in flight, weighed only for upstreams that are cold. Failures in a
+// row count too: a dead upstream fails fast, looks idle and draws all traffic.
 func (b *Balancer) load(u *upstream) float64 {
-	return float64(u.inflight+failLoad*u.fails+1) * u.slow / b.warmth(u)
+	return float64(u.inflight+failLoad*u.fails+1) / b.warmth(u)
 }
 
 // sendOrGiveUp sends the next attempt of a request, or gives it up if nothing can take it or, after a hold
@@ -560,6 +564,7 @@
 		r.mayRun = len(r.attempts) - 1
 	}
 	b.zones[b.group(u)].inflight++
+	b.zones[b.group(u)].byClass[r.class]++
 	u.inflight++
 	if float64(b.zones[0].inflight+b.zones[1].inflight) > b.peak {
 		b.choosePart()
@@ -579,10 +584,7 @@
 	badShare     = 0.5 // of the upstreams at most may be left out; if more look bad, they are not the cause
 	hangTimes    = 4.0 // usual service times without any answer that make a hang
 	hangLeast    = 300.0
-	slowTimes    = 2.0 // service time against the fleet's from which an upstream counts as slow
-	slowMin      = 8   // own outcomes needed to call it slow
-	stretchMost  = 4.0 // one costly request must not make an upstream look slow
-	slowFade     = 0.01
+	stretchMost  = 4.0 // one costly request must not make a zone look slow
 )
 
 // possible reports whether anything may be sent to the upstream at all.
@@ -604,9 +606,7 @@
 		usual := &b.usual[r.class]
 		usual.add(e.Spent, 0.02)
 		b.service.add(e.Spent, 0.02)
-		stretch := min(stretchMost, e.Spent/max(1, usual.value))
-		u.stretch.add(stretch, 0.1)
-		z.stretch.add(stretch, 0.05)
+		z.stretch.add(min(stretchMost, e.Spent/max(1, usual.value)), 0.05)
 		z.served.add(1, 0.05)
 	case Full:
 		u.answered, u.hung = b.now, false
@@ -648,7 +648,8 @@
 	return float64(out+1) <= badShare*float64(ready)
 }
 
-// checkHealth looks for hangs, before any outcome shows them, and for upstreams that stand out as slow.
+// checkHealth looks for hangs, before any outcome shows them. Nothing more goes to a hung upstream; what is
+// out there runs on to its time-out: called off and sent again, it took room from requests better served.
 func (b *Balancer) checkHealth() {
 	after := max(hangLeast, hangTimes*b.service.value)
 	if b.now-b.lastOK > after/2 { // nobody answers: not one upstream's fault
@@ -657,28 +658,17 @@
 	for _, r := range b.open {
 		for i := range r.attempts {
 			a := &r.attempts[i]
-			if a.over || b.now-a.sent < after || a.up.answered >= a.sent {
-				continue
-			}
-			if !a.up.hung && (a.up.inflight > 1 || b.now-a.sent > 2*after) && b.mayLeaveOut() {
+			silent := !a.over && b.now-a.sent >= after && a.up.answered < a.sent
+			if silent && !a.up.hung && (a.up.inflight > 1 || b.now-a.sent > 2*after) && b.mayLeaveOut() {
 				a.up.hung = true
 			}
-			if a.up.hung && !a.gave && !r.done && b.cfg.CanCancel && b.mayRetry(r, a) {
-				a.gave = true
-				b.act(Action{Kind: ActCancel, Request: r.id, Attempt: i})
-			}
 		}
 	}
 	for _, u := range b.list {
-		u.stretch.fade(1, slowFade)
 		if u.hung && u.inflight == 0 { // all its attempts have ended without an answer: try again later
 			u.hung = false
 			b.eject(u)
 		}
-		u.slow = 1
-		if u.stretch.n >= slowMin && u.stretch.value > slowTimes {
-			u.slow = u.stretch.value
-		}
 	}
 }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -29,7 +29,6 @@
 	up   *upstream
 	sent Millis
 	over bool
-	gave bool // cancelled by health, to be tried elsewhere
 }
 
 // count is what finished in one bucket of the window.
@@ -89,7 +88,9 @@
 		b.window[i] = make([]count, len(cfg.Classes))
 	}
 	start := limitStart / float64(max(1, cfg.Replicas))
-	b.zones[0].limit, b.zones[1].limit = start, start
+	for g := range b.zones {
+		b.zones[g] = zoneView{limit: start, byClass: make([]int, len(cfg.Classes))}
+	}
 	for _, q := range cfg.TenantQuota {
 		b.tenants = append(b.tenants, q/float64(max(1, cfg.Replicas)))
 	}
@@ -159,10 +160,8 @@
 	trial    bool // back from an ejection, not yet proven
 	hung     bool
 	answered Millis
-	stretch  mean    // own service times against the class's usual
 	held     float64 // requests in hand, as last reported
 	heldAt   Millis  // when that was; long ago if never
-	slow     float64 // 1, or how many times slower than the fleet
 }
 
 // zoneView is how a zone group fares: 0 is the own zone, 1 all others.
@@ -170,11 +169,11 @@
 	stretch  mean
 	served   mean
 	inflight int
+	byClass  []int       // in flight, by class
 	dither   float64     // decides on the broken part of the room, drawn anew each tick
 	members  []*upstream // the part of the group that this copy works with
 	weight   float64     // usable upstreams, in units of warm ones
 	limit    float64     // attempts in flight per unit of weight
-	grown    bool        // the limit has met its first sign of a queue
 }
 
 // mean is an average that forgets: exact over its first values, then exponential.
@@ -188,8 +187,6 @@
 	m.value += (x - m.value) * max(share, 1/m.n)
 }
 
-// fade draws the average towards a value when nothing new is learned.
-func (m *mean) fade(to, share float64) { m.value += (to - m.value) * share * min(1, m.n) }
 func (r *request) tried(u *upstream) bool {
 	for i := range r.attempts {
 		if r.attempts[i].up == u {
@@ -263,11 +260,11 @@
 		case u == nil && e.State == Gone:
 			continue
 		case u == nil:
-			u = &upstream{id: e.ID, place: mix(e.ID), slow: 1, heldAt: math.Inf(-1), tokens: b.rng.Float64()}
+			u = &upstream{id: e.ID, place: mix(e.ID), heldAt: math.Inf(-1), tokens: b.rng.Float64()}
 			b.ups[e.ID] = u
 			b.list = append(b.list, u)
 		case e.Started > u.Started:
-			*u = upstream{id: u.id, place: u.place, slow: 1, heldAt: math.Inf(-1), inflight: u.inflight,
+			*u = upstream{id: u.id, place: u.place, heldAt: math.Inf(-1), inflight: u.inflight,
 				tokens: b.rng.Float64()}
 		}
 		u.Entry, u.zone = e, e.Zone
