The least room of a copy is for its own zone only

Cause: the least room of each copy, one attempt in ten service times in both groups, adds up: with 727 copies it came to more than two attempts a server at every moment, and servers that had turned slow never rested.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -296,13 +296,18 @@
 
 // groupRoom reports whether a zone group is under its limit. Inner tiers have none: what they held
 // back would keep its slot in the tier above. Of a room that is no whole number the rest is there for as
-// large a share of the time: rounded up, hundreds of copies with less than one each overran a fleet.
+// large a share of the time: rounded up, hundreds of copies with less than one each overran a fleet. The
+// least room is for one group: in both, it kept a crowded fleet of seven hundred copies from ever resting.
 func (b *Balancer) groupRoom(g int, r *request) bool {
 	z := &b.zones[g]
 	if b.cfg.Stage > 0 {
 		return true
 	}
-	return z.weight > 0 && b.ahead(z, r)+z.dither < max(roomLeast, z.limit*z.weight)
+	least := roomLeast
+	if g > 0 && b.zones[0].weight > 0 { // one group is enough to learn from
+		least = 0
+	}
+	return z.weight > 0 && b.ahead(z, r)+z.dither < max(least, z.limit*z.weight)
 }
 
 // ahead is how many attempts of a group count against a request's room: all of its worth or more, and those
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -685,3 +685,29 @@
 		t.Error("a request of worth 12 goes beyond the limit that its like fill")
 	}
 }
+
+// The least room of each of hundreds of copies adds up: given in both groups, it kept a crowded fleet from
+// resting. It must be there in the other group if the own zone has nothing.
+func TestLeastRoomIsForOneGroup(t *testing.T) {
+	share := func(b *Balancer, g int) float64 {
+		const n = 4000
+		open := 0.0
+		for range n {
+			b.tick()
+			b.zones[0].limit, b.zones[1].limit = 0, 0
+			if b.groupRoom(g, &request{worth: 1}) {
+				open++
+			}
+		}
+		return open / n
+	}
+	b := New(testConfig(), 1, 0)
+	b.onList(entries(8), true)
+	if own, other := share(b, 0), share(b, 1); math.Abs(own-roomLeast) > 0.03 || other > 0 {
+		t.Errorf("room in the own zone %.3f of the time, in the others %.3f", own, other)
+	}
+	b.onList([]Entry{{ID: 1, Zone: 1, State: Ready}}, true)
+	if other := share(b, 1); math.Abs(other-roomLeast) > 0.03 {
+		t.Errorf("nothing in the own zone: room in the others %.3f of the time", other)
+	}
+}
