--- a/balance/balance.go
+++ b/balance/balance.go
@@ -305,6 +305,7 @@
 const (
 	lateMean   = 0.5   // mean share of the aims taken at which a good part of the answers is late
 	calmLeast  = 0.05  // below this share of the aim a service time is no measure of queues
+	calmMost   = 0.4   // above this one it is a queue: a start on a crowded fleet is not calm
 	calmRise   = 0.004 // a lasting change of the work is taken as the new calm after some hundred outcomes
 	tookGain   = 0.05  // some twenty outcomes make the mean
 	limitGain  = 1.4   // a round trip of late answers takes a limit down to a third or so
@@ -388,7 +389,7 @@
 		b.calm = b.took.value
 	}
 	b.calm += (b.took.value - b.calm) * calmRise
-	want := math.Sqrt(max(b.calm, calmLeast) * lateMean)
+	want := math.Sqrt(min(calmMost, max(b.calm, calmLeast)) * lateMean)
 	step := limitGain * (want - took) / max(1, z.weight)
 	if step < 0 || float64(z.inflight+1) >= usedShare*z.limit*z.weight {
 		z.limit = max(limitLeast/float64(max(1, b.cfg.Replicas)), z.limit+step)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -732,3 +732,19 @@
 		}
 	}
 }
+
+// A copy that starts on a crowded fleet learned the crowding as its calm share and aimed above it: a fleet
+// that had tipped in the first seconds stayed so.
+func TestCrowdedStartIsNotCalm(t *testing.T) {
+	b := New(testConfig(), 1, 0)
+	b.onList(entries(8), true)
+	z := &b.zones[0]
+	z.inflight = 1000
+	start := z.limit
+	for range 2 * minRequests {
+		b.learnLimit(z, 0.46) // above the target for the largest calm share, under late
+	}
+	if z.limit >= start {
+		t.Errorf("limit %.2f, from %.2f, on answers that all take nearly half of their aim", z.limit, start)
+	}
+}
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -280,7 +280,7 @@
 	f := newFront(t, cfg, seed)
 	all := entries(7)
 	f.list(true, all...)
-	for range 4000 {
+	for range 6000 { // long enough for some hundred sends where most attempts fail and little is let through
 		for f.rng.Float64() < 0.4 {
 			f.submit(f.rng.IntN(len(cfg.Classes)), []Millis{3, 40, 300, 1000, 3000}[f.rng.IntN(5)])
 		}
