--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,7 +18,7 @@
 	kInner      = 3.0    // K further in: a refusal there wastes the work above it
 	idleShare   = 0.5    // of the in-flight limit: below it the formula does not refuse
 	worthLeast  = 1e-3   // keeps a worth of nothing finite
-	easyShare   = 0.35  // an answer within this share of its aim counts as a whole accept, then ever less
+	easyShare   = 0.35   // an answer within this share of its aim counts as a whole accept, then ever less
 )
 
 // Events.
