--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -9,6 +9,7 @@
 	"os"
 
 	"salttrack/balance"
+	"salttrack/internal/settings"
 	"salttrack/internal/simwire"
 )
 
@@ -73,11 +74,11 @@
 			delete(h.instances, e.Balancer)
 			continue
 		case simwire.PowerOn:
-			cfg, inflight, err := config(e.Text)
+			cfg, err := settings.Build(settings.ParseLines(e.Text))
 			if err != nil {
 				return fmt.Errorf("batch %d, record %d: %v", batch.Number, i, err)
 			}
-			h.instances[e.Balancer] = instance{balance.New(cfg, e.Number, batch.Clock), inflight}
+			h.instances[e.Balancer] = instance{balance.New(cfg.Config, e.Number, batch.Clock), cfg.Inflight}
 		}
 		b, ok := h.instances[e.Balancer]
 		if !ok {
--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -11,8 +11,8 @@
 	"salttrack/internal/simwire"
 )
 
-// settings of a made-up deployment with all that this program needs.
-func settings(change ...string) string {
+// conf gives the settings of a made-up deployment with all that this program needs.
+func conf(change ...string) string {
 	lines := map[string]string{
 		"me": "1", "replicas_of_me": "2", "zone": "0", "stage": "0", "discovery": "push", "granularity_ms": "5.0",
 		"invariants.start_capacity": "0.2", "invariants.cold_ms": "9000.0", "invariants.fall_multiple": "3.0",
@@ -101,7 +101,7 @@
 func TestRequestIsSentAndAnswered(t *testing.T) {
 	s := &stream{}
 	s.batch(1000) // batches may be empty
-	s.powerOn(3, settings())
+	s.powerOn(3, conf())
 	s.inventory(0, 11, 12)
 	s.record(20, uint16(3), uint32(0), uint8(2), uint64(1))
 	s.batch(1005)
@@ -117,17 +117,17 @@
 
 func TestListsInOrderOfEvents(t *testing.T) {
 	s := &stream{}
-	s.powerOn(1, settings())
+	s.powerOn(1, conf())
 	s.inventory(4, 11)
 	s.record(20, uint16(1), uint32(4), uint8(1), uint64(1))
-	s.powerOn(2, settings())
+	s.powerOn(2, conf())
 	s.inventory(4) // the same number again, now empty
 	s.record(20, uint16(2), uint32(4), uint8(1), uint64(1))
 	for _, instance := range []uint16{1, 2} {
 		s.record(30, instance, uint32(500+uint32(instance)), uint8(0), uint16(0), uint64(0), float64(2000), float64(0), uint8(0))
 	}
 	s.record(100, uint16(1)) // killed and on again in one batch
-	s.powerOn(1, settings())
+	s.powerOn(1, conf())
 	s.record(20, uint16(1), uint32(4), uint8(2), uint64(1))
 	s.batch(1000)
 	if got := string(codes(t, s)[0]); strings.Count(got, "\x46") != 1 || strings.Count(got, "\x28") != 1 {
@@ -148,12 +148,12 @@
 		want string
 	}{
 		{"unknown instance", one(func(s *stream) { s.record(60, uint16(9), uint32(1)) }), "batch 1, record 0: unknown instance 9"},
-		{"missing setting", one(func(s *stream) { s.powerOn(1, settings("zone=")) }), "batch 1, record 0: setting zone is missing"},
-		{"malformed setting", one(func(s *stream) { s.powerOn(1, settings("classes.1.worth=dear")) }), `classes.1.worth="dear"`},
-		{"unknown word", one(func(s *stream) { s.powerOn(1, settings("discovery=guess")) }), `discovery="guess"`},
-		{"many classes", one(func(s *stream) { s.powerOn(1, settings("classes.count=1048576")) }), "classes.2."},
+		{"missing setting", one(func(s *stream) { s.powerOn(1, conf("zone=")) }), "batch 1, record 0: setting zone is missing"},
+		{"malformed setting", one(func(s *stream) { s.powerOn(1, conf("classes.1.worth=dear")) }), `classes.1.worth="dear"`},
+		{"unknown word", one(func(s *stream) { s.powerOn(1, conf("discovery=guess")) }), `discovery="guess"`},
+		{"many classes", one(func(s *stream) { s.powerOn(1, conf("classes.count=1048576")) }), "classes.2."},
 		{"unknown outcome", one(func(s *stream) {
-			s.powerOn(1, settings())
+			s.powerOn(1, conf())
 			s.record(50, uint16(1), uint32(1), uint16(0), uint32(1), uint16(999))
 		}), "unknown outcome 999"},
 	}
@@ -165,23 +165,6 @@
 	}
 }
 
-func TestConfig(t *testing.T) {
-	cfg, inflight, err := config([]byte(settings("report.columns=util,inflight", "discovery=ask", "tenants.count=1", "tenants.0.quota_per_s=40.5",
-		"over_share_worth=0.1", "limits.retry_after=false")))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if inflight != 1 || !cfg.Ask || cfg.MaxRetryAfter != 0 || len(cfg.TenantQuota) != 1 ||
-		cfg.TenantQuota[0] != 40.5 || cfg.Classes[1].Effect != balance.Keyed || cfg.Classes[1].Group != balance.GroupCell ||
-		cfg.Classes[1].Window != 7000 || cfg.Classes[0].Effect != balance.Safe || cfg.OverShareWorth != 0.1 {
-		t.Errorf("%+v", cfg)
-	}
-	cfg, inflight, err = config([]byte(settings("tenants=")))
-	if err != nil || inflight != -1 || len(cfg.TenantQuota) != 0 || cfg.Tiers != 1 {
-		t.Errorf("%v %+v", err, cfg)
-	}
-}
-
 // A panic of the module must end the day with its text, not with a dead process.
 func TestPanicBecomesBailOut(t *testing.T) {
 	var reply simwire.Reply
--- /dev/null
+++ b/internal/discovery/members.go
@@ -0,0 +1,131 @@
+package discovery
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"net/netip"
+	"slices"
+
+	"salttrack/balance"
+)
+
+// Update is one message of discovery.
+type Update struct {
+	Revision uint64   `json:"revision"`
+	Complete bool     `json:"complete"` // all members, not only those that changed
+	Members  []Member `json:"members"`
+}
+
+// Member is one upstream as discovery tells of it.
+type Member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Cell     uint16  `json:"cell"`
+	Phase    string  `json:"phase"`
+	Started  float64 `json:"up_since_ms"`
+
+	addr  netip.AddrPort
+	state balance.State
+}
+
+var phases = map[string]balance.State{"in_service": balance.Ready, "terminating": balance.Draining, "terminated": balance.Gone}
+
+// Parse decodes one message and checks all of it, so that a list is taken whole or not at all.
+func Parse(text []byte) (*Update, error) {
+	var u Update
+	dec := json.NewDecoder(bytes.NewReader(text))
+	if err := dec.Decode(&u); err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	for i := range u.Members {
+		m := &u.Members[i]
+		var ok bool
+		if m.state, ok = phases[m.Phase]; !ok {
+			return nil, fmt.Errorf("discovery: member %q: unknown phase %q", m.ID, m.Phase)
+		}
+		var err error
+		if m.addr, err = netip.ParseAddrPort(m.HostPort); err != nil && m.state != balance.Gone {
+			return nil, fmt.Errorf("discovery: member %q: %w", m.ID, err)
+		}
+		if m.ID == "" || m.Started < 0 || math.IsInf(m.Started, 0) {
+			return nil, fmt.Errorf("discovery: member %d: malformed", i)
+		}
+	}
+	return &u, nil
+}
+
+// Book turns what discovery tells into the module's numbers, and knows where each upstream listens.
+type Book struct {
+	zones []string
+	ids   map[string]balance.UpstreamID
+	taken map[balance.UpstreamID]bool
+	known map[balance.UpstreamID]bool // in the list, by the last news
+}
+
+// NewBook returns an empty book. Zones are the names of the zones in the order of their numbers.
+func NewBook(zones []string) *Book {
+	return &Book{zones: slices.Clone(zones), ids: map[string]balance.UpstreamID{},
+		taken: map[balance.UpstreamID]bool{}, known: map[balance.UpstreamID]bool{}}
+}
+
+// Places is told where upstreams listen.
+type Places interface {
+	Place(balance.UpstreamID, netip.AddrPort, balance.Millis)
+	Remove(balance.UpstreamID)
+}
+
+// Enter takes in an update and returns it in the module's form.
+func (b *Book) Enter(u *Update, p Places) []balance.Entry {
+	entries := make([]balance.Entry, 0, len(u.Members))
+	listed := map[balance.UpstreamID]bool{}
+	for i := range u.Members {
+		m := &u.Members[i]
+		id := b.id(m.ID)
+		entries = append(entries, balance.Entry{ID: id, Zone: b.zone(m.Locality), Cell: m.Cell, State: m.state,
+			Started: m.Started})
+		if m.state == balance.Gone {
+			p.Remove(id)
+			delete(b.known, id)
+			continue
+		}
+		listed[id], b.known[id] = true, true
+		p.Place(id, m.addr, m.Started)
+	}
+	for id := range b.known {
+		if u.Complete && !listed[id] {
+			p.Remove(id)
+			delete(b.known, id)
+		}
+	}
+	return entries
+}
+
+// id numbers an upstream. The number is made from its name alone, since the module wants copies to order
+// the upstreams alike; only where two names meet in one number does the order of their coming count.
+func (b *Book) id(name string) balance.UpstreamID {
+	if id, ok := b.ids[name]; ok {
+		return id
+	}
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	id := balance.UpstreamID(h.Sum32())
+	for b.taken[id] {
+		id++
+	}
+	b.ids[name], b.taken[id] = id, true
+	return id
+}
+
+// zone numbers a zone. One that the settings do not name gets the next number.
+func (b *Book) zone(name string) uint16 {
+	i := slices.Index(b.zones, name)
+	if i < 0 {
+		i = len(b.zones)
+		b.zones = append(b.zones, name)
+	}
+	return uint16(i)
+}
--- /dev/null
+++ b/internal/discovery/watch.go
@@ -0,0 +1,203 @@
+// Package discovery follows the list of upstreams.
+package discovery
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"golang.org/x/sys/unix"
+
+	"salttrack/balance"
+	"salttrack/internal/counter"
+	"salttrack/internal/epoll"
+	"salttrack/internal/http1"
+	"salttrack/internal/timer"
+)
+
+const (
+	quietMost  = 5000.0  // ms without a byte: more than two of the empty lines that come every 2 s are missing
+	retryFirst = 100.0   // ms before a new watch, doubled up to retryMost while it fails
+	retryMost  = 2000.0  // the agent answers at once and at no cost
+	lineMost   = 8 << 20 // bytes of one message: some tens of thousands of members
+)
+
+// Options is what a watch works with.
+type Options struct {
+	Loop     *epoll.Loop
+	Address  netip.AddrPort
+	Revision uint64 // of the list that is known already
+	Counters *counter.Set
+	News     func(*Update) // takes what is told, in order
+	Note     func(string)  // takes a line on trouble
+}
+
+// Watch follows the list. While it is broken, what was told last stands.
+type Watch struct {
+	Options
+	revision uint64
+	answered bool // anything has been told since the start
+
+	fd     int // -1 while there is no connection
+	up     bool
+	unsent []byte
+	dec    *http1.ResponseDecoder
+	line   []byte
+	timer  *timer.Timer // quiet for too long, or time for a new watch
+	delay  balance.Millis
+	buf    []byte
+
+	watches, updates, empty, malformed, broken *counter.Counter
+}
+
+// NewWatch returns a watch that has not begun.
+func NewWatch(o Options) *Watch {
+	n := o.Counters.New
+	return &Watch{Options: o, revision: o.Revision, fd: -1, delay: retryFirst, buf: make([]byte, 64<<10),
+		watches: n("watches"), updates: n("watch_updates"), empty: n("watch_empty_lines"),
+		malformed: n("watch_malformed"), broken: n("watch_broken")}
+}
+
+// Answered reports whether discovery has told anything since the start.
+func (w *Watch) Answered() bool { return w.answered }
+
+// Start begins to follow the list.
+func (w *Watch) Start() {
+	w.watches.Inc()
+	fd, err := epoll.Connect(w.Address)
+	if err == nil {
+		if err = w.Loop.Add(fd, epoll.In|epoll.Out|epoll.Hup, w); err != nil {
+			unix.Close(fd)
+		}
+	}
+	if err != nil {
+		w.again(err)
+		return
+	}
+	w.Loop.First(fd) // what has been told is handled before anything is sent
+	w.fd, w.up = fd, false
+	w.dec = http1.NewResponseDecoder(w.take)
+	w.line = w.line[:0]
+	w.unsent = fmt.Appendf(nil, "GET /api/targets?follow=1&since=%d HTTP/1.1\r\nHost: %s\r\n\r\n", w.revision, w.Address)
+	w.patience()
+}
+
+// patience starts the time anew after which silence means that the watch is broken.
+func (w *Watch) patience() {
+	w.Loop.Timers.Stop(w.timer)
+	w.timer = w.Loop.After(quietMost, func() { w.again(errors.New("silent")) })
+}
+
+// again ends the watch and begins a new one a little later.
+func (w *Watch) again(why error) {
+	w.broken.Inc()
+	if w.delay == retryFirst { // the first of a row
+		w.Note("watch broken: " + why.Error())
+	}
+	w.Stop()
+	w.timer = w.Loop.After(w.delay, w.Start)
+	w.delay = min(retryMost, 2*w.delay)
+}
+
+// Stop ends the watch.
+func (w *Watch) Stop() {
+	w.Loop.Timers.Stop(w.timer)
+	if w.fd >= 0 {
+		w.Loop.Close(w.fd)
+		w.fd = -1
+	}
+}
+
+// Ready handles what the kernel tells of the connection.
+func (w *Watch) Ready(events uint32) {
+	if !w.up {
+		if err := epoll.Failed(w.fd); err != nil {
+			w.again(err)
+			return
+		}
+		w.up = events&epoll.Out != 0
+	}
+	if w.up && len(w.unsent) > 0 {
+		n, err := epoll.Write(w.fd, w.unsent)
+		if err != nil {
+			w.again(err)
+			return
+		}
+		if w.unsent = w.unsent[n:]; len(w.unsent) == 0 {
+			w.Loop.Watch(w.fd, epoll.In|epoll.Hup)
+		}
+	}
+	for fd := w.fd; w.fd == fd; {
+		n, err := epoll.Read(fd, w.buf)
+		switch {
+		case err == unix.EAGAIN:
+			return
+		case err == nil && n == 0:
+			err = errors.New("ended")
+		case err == nil:
+			err = w.decode(w.buf[:n])
+		}
+		if err != nil {
+			w.again(err)
+			return
+		}
+	}
+}
+
+func (w *Watch) decode(p []byte) error {
+	_, err := w.dec.Feed(p)
+	switch {
+	case err != nil:
+		w.malformed.Inc()
+		return err
+	case w.dec.Status() > 200:
+		return fmt.Errorf("status %d", w.dec.Status())
+	case w.dec.Done():
+		return errors.New("ended")
+	}
+	w.patience()
+	return nil
+}
+
+// take gathers lines and tells what they hold.
+func (w *Watch) take(p []byte) error {
+	if w.dec.Status() != 200 {
+		return fmt.Errorf("status %d", w.dec.Status())
+	}
+	for len(p) > 0 {
+		i := bytes.IndexByte(p, '\n')
+		if len(w.line)+len(p) > lineMost {
+			return errors.New("message too large")
+		}
+		if i < 0 {
+			w.line = append(w.line, p...)
+			return nil
+		}
+		w.line = append(w.line, p[:i]...)
+		p = p[i+1:]
+		if err := w.tell(bytes.TrimSpace(w.line)); err != nil {
+			return err
+		}
+		w.line = w.line[:0]
+	}
+	return nil
+}
+
+// tell hands on one line.
+func (w *Watch) tell(line []byte) error {
+	if len(line) == 0 {
+		w.empty.Inc()
+		w.answered, w.delay = true, retryFirst
+		return nil
+	}
+	u, err := Parse(line)
+	if err != nil { // the list stays as it was
+		return err
+	}
+	w.updates.Inc()
+	w.answered, w.delay = true, retryFirst
+	w.revision = u.Revision
+	w.News(u)
+	return nil
+}
--- /dev/null
+++ b/internal/downstream/conn.go
@@ -0,0 +1,313 @@
+package downstream
+
+import (
+	"container/list"
+	"math"
+	"strings"
+
+	"golang.org/x/sys/unix"
+
+	"salttrack/balance"
+	"salttrack/internal/epoll"
+	"salttrack/internal/exchange"
+	"salttrack/internal/http1"
+	"salttrack/internal/timer"
+)
+
+// conn is one connection of a caller. It waits for a request or the rest of one, has an exchange open,
+// writes an answer, or lingers after the last.
+type conn struct {
+	s         *Server
+	fd        int
+	over      bool // beyond the table: it is told to go elsewhere
+	dec       *http1.RequestDecoder
+	pending   []byte // read, and not yet of use
+	exchange  *exchange.Exchange
+	unsent    []byte
+	began     balance.Millis // when the request's first byte came
+	continued bool           // leave to send the body was given
+	last      bool           // the connection ends with the present answer
+	lingering bool
+	ended     bool // closed
+	place     *list.Element
+	timer     *timer.Timer
+}
+
+func newConn(s *Server, fd int, over bool) *conn {
+	c := &conn{s: s, fd: fd, over: over, dec: http1.NewRequestDecoder()}
+	s.conns[c] = struct{}{}
+	if over {
+		s.over++
+	}
+	c.wait()
+	return c
+}
+
+// wait makes the connection ready for its next request.
+func (c *conn) wait() {
+	c.dec.Reset()
+	c.continued = false
+	c.place = c.s.waiting.PushBack(c)
+	if c.over {
+		c.timeout(overMost, c.close)
+	} else {
+		c.timeout(idleMost, c.close)
+	}
+}
+
+// unwait notes that a request is whole.
+func (c *conn) unwait() {
+	if c.place != nil {
+		c.s.waiting.Remove(c.place)
+		c.place = nil
+	}
+	c.timeout(0, nil)
+}
+
+// timeout sets the connection's one timer, or clears it.
+func (c *conn) timeout(ms balance.Millis, do func()) {
+	c.s.Loop.Timers.Stop(c.timer)
+	c.timer = nil
+	if do != nil {
+		c.timer = c.s.Loop.After(ms, do)
+	}
+}
+
+// Ready handles what the kernel tells of the connection.
+func (c *conn) Ready(events uint32) {
+	switch {
+	case c.lingering:
+		c.discard()
+	case c.exchange != nil: // nothing is read meanwhile: only its end is told
+		if events&(epoll.Hup|epoll.Error) != 0 {
+			c.left()
+		}
+	case len(c.unsent) > 0:
+		if events&epoll.Error != 0 {
+			c.broke()
+		} else if events&epoll.Out != 0 {
+			c.write()
+		}
+	default:
+		c.read()
+	}
+}
+
+// read takes in what has come, until a request is whole.
+func (c *conn) read() {
+	for i := 0; i < readMost && c.place != nil; i++ {
+		n, err := epoll.Read(c.fd, c.s.buf)
+		switch {
+		case err == unix.EAGAIN:
+			return
+		case err != nil:
+			c.broke()
+		case n == 0:
+			c.close()
+		default:
+			c.decode(c.s.buf[:n])
+		}
+	}
+}
+
+// decode takes bytes of a request. What follows a whole one waits until that is answered.
+func (c *conn) decode(p []byte) {
+	if !c.dec.Begun() {
+		c.began = c.s.Loop.Now()
+		if !c.over {
+			c.timeout(requestMost, c.tooSlow)
+		}
+	}
+	n, err := c.dec.Feed(p)
+	if err != nil {
+		c.reject(err.(*http1.Error).Status, true)
+		return
+	}
+	if !c.dec.Done() {
+		if c.dec.WantsContinue() && !c.continued {
+			c.continued = true
+			epoll.Write(c.fd, []byte(http1.Continue)) // without it the sender goes on after a moment
+		}
+		c.s.waiting.MoveToBack(c.place)
+		return
+	}
+	c.pending = append([]byte(nil), p[n:]...)
+	c.unwait()
+	c.s.Loop.Watch(c.fd, epoll.Hup)
+	c.request(c.dec.Request())
+}
+
+func (c *conn) tooSlow() {
+	c.s.count.late.Inc()
+	c.reject(408, true)
+}
+
+// request handles a whole request.
+func (c *conn) request(r http1.Request) {
+	s := c.s
+	c.last = r.Close
+	path, _, _ := strings.Cut(r.Target, "?")
+	if strings.HasPrefix(path, "/-/") {
+		c.own(path, r.Method)
+		return
+	}
+	s.count.requests.Inc()
+	class, status := s.check(&r, path)
+	switch {
+	case status != 0:
+		c.reject(status, false)
+	case c.over: // no descriptor is left to serve it with
+		s.count.overflow.Inc()
+		c.answer(503, 0, true, nil)
+	default:
+		x := exchange.New(c, &r)
+		x.Class, x.Resent = class, r.Resent
+		x.Expires = c.began + r.Remaining*1000
+		x.Expires -= min(s.Ahead, r.Remaining*1000/10)
+		c.exchange = x
+		s.Core.Take(x)
+	}
+}
+
+// check finds the class of a request, or the status that answers a malformed one.
+func (s *Server) check(r *http1.Request, path string) (uint8, int) {
+	if r.Method != "GET" && r.Method != "POST" {
+		return 0, 405
+	}
+	first, _, _ := strings.Cut(path[1:], "/")
+	class, ok := s.classes[r.Lane]
+	switch {
+	case !ok || first != r.Lane, r.Txn == "", math.IsNaN(r.Remaining), r.Remaining < 0 || r.Remaining > 3600:
+		return 0, 400
+	case s.Effects[class] == balance.Keyed && r.Key == "": // its repeats could not be told apart
+		return 0, 400
+	}
+	return class, 0
+}
+
+// own answers what is asked of the balancer itself.
+func (c *conn) own(path, method string) {
+	switch {
+	case path != "/-/ready":
+		c.reject(404, false)
+	case method != "GET":
+		c.reject(405, false)
+	case c.s.draining || !c.s.Options.Ready():
+		c.s.count.ready.Inc()
+		c.answer(503, 0, false, nil)
+	default:
+		c.s.count.ready.Inc()
+		c.answer(200, 0, false, nil)
+	}
+}
+
+// reject answers a bad request, which never reaches the module.
+func (c *conn) reject(status int, end bool) {
+	c.s.count.bad.Inc()
+	c.unwait()
+	c.answer(status, 0, end, nil)
+}
+
+// Answer writes the final answer of the connection's exchange.
+func (c *conn) Answer(x *exchange.Exchange, a exchange.Answer) {
+	c.exchange = nil
+	switch a.Verdict {
+	case exchange.Served:
+		c.answer(200, 0, false, a.Body)
+	case exchange.Refused:
+		c.answer(503, a.RetryAfter, false, nil)
+	default:
+		c.answer(502, 0, false, nil)
+	}
+}
+
+// answer writes an answer. End says that the connection ends with it.
+func (c *conn) answer(status int, retryAfter balance.Millis, end bool, body []byte) {
+	c.last = c.last || end || c.s.draining || c.over
+	c.s.count.status[status].Inc()
+	c.unsent = http1.AppendResponse(nil, status, retryAfter, c.last, body)
+	c.timeout(writeMost, c.broke)
+	c.write()
+}
+
+// write writes what the kernel takes of the answer, and goes on to the next request after the last byte.
+func (c *conn) write() {
+	n, err := epoll.Write(c.fd, c.unsent)
+	if err != nil {
+		c.broke()
+		return
+	}
+	if c.unsent = c.unsent[n:]; len(c.unsent) > 0 {
+		c.s.Loop.Watch(c.fd, epoll.Out)
+		return
+	}
+	c.unsent = nil
+	if c.last {
+		c.linger()
+		return
+	}
+	c.wait()
+	c.s.Loop.Watch(c.fd, epoll.In|epoll.Hup)
+	if p := c.pending; len(p) > 0 {
+		c.pending = nil
+		c.decode(p)
+	}
+}
+
+// left tells that the caller has gone without its answer.
+func (c *conn) left() {
+	x := c.exchange
+	c.exchange = nil
+	c.close()
+	c.s.Core.Leave(x)
+}
+
+// broke closes a connection that failed.
+func (c *conn) broke() {
+	c.s.count.resets.Inc()
+	c.close()
+}
+
+// linger ends the sending and reads on for a moment: closing with unread input would send a reset, which
+// can destroy the answer on its way.
+func (c *conn) linger() {
+	c.lingering = true
+	unix.Shutdown(c.fd, unix.SHUT_WR)
+	c.timeout(lingerMost, c.close)
+	c.s.Loop.Watch(c.fd, epoll.In|epoll.Hup)
+	c.discard()
+}
+
+func (c *conn) discard() {
+	for range readMost {
+		n, err := epoll.Read(c.fd, c.s.buf)
+		if err == unix.EAGAIN {
+			return
+		}
+		if err != nil || n == 0 {
+			c.close()
+			return
+		}
+	}
+}
+
+func (c *conn) close() {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	c.unwait()
+	c.s.Loop.Close(c.fd)
+	c.release()
+}
+
+// release takes the connection out of the server's books.
+func (c *conn) release() {
+	c.unwait()
+	delete(c.s.conns, c)
+	if c.over {
+		c.s.over--
+	} else {
+		c.s.Table.Give()
+	}
+}
--- /dev/null
+++ b/internal/downstream/server.go
@@ -0,0 +1,189 @@
+// Package downstream is the callers' side: connections that bring requests, and the answers to them.
+package downstream
+
+import (
+	"container/list"
+	"fmt"
+	"net/netip"
+
+	"golang.org/x/sys/unix"
+
+	"salttrack/balance"
+	"salttrack/internal/counter"
+	"salttrack/internal/epoll"
+	"salttrack/internal/exchange"
+)
+
+const (
+	idleMost    = 90000.0 // ms that a connection may stand between requests
+	requestMost = 15000.0 // ms for a request to arrive whole
+	writeMost   = 15000.0 // ms for an answer to be taken
+	lingerMost  = 1000.0  // ms that a connection is read on after its last answer
+	acceptMost  = 256     // connections taken in one go, so that no flood of them stalls the loop
+	pauseAccept = 5.0     // ms until the next go when even the spare descriptors are used
+	readMost    = 4       // buffers read from one connection in one go
+	comeFor     = 500.0   // ms after the end was announced in which new connections still come
+	lastAccept  = 150.0   // ms more in which the listener stays open
+	halfMost    = 1000.0  // ms more for requests that have begun to arrive
+	overMost    = 1000.0  // ms that a connection on a spare descriptor has for its request
+)
+
+// Core takes requests. Answers come back by the exchange.
+type Core interface {
+	Take(*exchange.Exchange)
+	Leave(*exchange.Exchange)
+}
+
+// Options is what a server works with.
+type Options struct {
+	Loop     *epoll.Loop
+	Table    *epoll.Table
+	Spare    int // descriptors beyond the table, for callers that are only told to go elsewhere
+	Counters *counter.Set
+	Core     Core
+	Classes  []string // names of the classes in the order of their numbers
+	Effects  []balance.Effect
+	Ahead    balance.Millis // an answer is given so much before the caller gives up
+	Ready    func() bool    // the instance knows its upstreams
+}
+
+// Server is the callers' side of one balancer.
+type Server struct {
+	Options
+	classes  map[string]uint8
+	fd       int // -1 once the listener is closed
+	conns    map[*conn]struct{}
+	waiting  *list.List // of *conn that owe no answer, the longest silent first
+	over     int        // connections beyond the table
+	draining bool
+	buf      []byte
+	count    counters
+}
+
+type counters struct {
+	accepted, requests, ready, bad, shed, overflow, pauses, resets, late *counter.Counter
+	status                                                               map[int]*counter.Counter
+}
+
+// NewServer returns a server that does not listen yet.
+func NewServer(o Options) *Server {
+	s := &Server{Options: o, classes: map[string]uint8{}, fd: -1, conns: map[*conn]struct{}{},
+		waiting: list.New(), buf: make([]byte, 64<<10)}
+	for i, name := range o.Classes {
+		s.classes[name] = uint8(i)
+	}
+	n := o.Counters.New
+	s.count = counters{accepted: n("down_accepted"), requests: n("down_requests"), ready: n("ready_asked"),
+		bad: n("bad_requests"), shed: n("down_shed"), overflow: n("down_overflow_refused"),
+		pauses: n("down_accept_pauses"), resets: n("down_broken"), late: n("down_timed_out"), status: map[int]*counter.Counter{}}
+	for _, status := range [...]int{200, 400, 404, 405, 408, 413, 417, 431, 501, 502, 503, 505} {
+		s.count.status[status] = n(fmt.Sprintf("answers_%d", status))
+	}
+	o.Counters.Reading("down_open", func() uint64 { return uint64(len(s.conns)) })
+	o.Table.Shed(s.shedWaiting)
+	return s
+}
+
+// Listen begins to take connections.
+func (s *Server) Listen(addr netip.AddrPort) error {
+	fd, err := epoll.Listen(addr)
+	if err != nil {
+		return err
+	}
+	if err := s.Loop.Add(fd, epoll.In, s); err != nil {
+		unix.Close(fd)
+		return err
+	}
+	s.fd = fd
+	return nil
+}
+
+// Ready takes the connections that wait.
+func (s *Server) Ready(uint32) { s.accept(acceptMost) }
+
+// accept takes up to so many connections. What waits in the kernel's queue counts as taken, so connections
+// are taken even when the table is full: some more on spare descriptors, whose request is refused at once.
+func (s *Server) accept(most int) {
+	for range most {
+		if s.over >= s.Spare {
+			s.pause()
+			return
+		}
+		fd, err := epoll.Accept(s.fd)
+		if err != nil {
+			if err != unix.EAGAIN { // no descriptor or memory in the kernel: it is tried again
+				s.pause()
+			}
+			return
+		}
+		s.count.accepted.Inc()
+		c := newConn(s, fd, !s.Table.Take())
+		if err := s.Loop.Add(fd, epoll.In|epoll.Hup, c); err != nil {
+			c.release()
+			unix.Close(fd)
+			continue
+		}
+		c.Ready(epoll.In) // the request is often there already
+	}
+}
+
+// pause leaves new connections waiting for a moment.
+func (s *Server) pause() {
+	s.count.pauses.Inc()
+	s.Loop.Watch(s.fd, 0)
+	s.Loop.After(pauseAccept, func() {
+		if s.fd >= 0 {
+			s.Loop.Watch(s.fd, epoll.In)
+		}
+	})
+}
+
+// shedWaiting closes the connection that has been silent longest, of those that owe no answer.
+func (s *Server) shedWaiting() bool {
+	for e := s.waiting.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*conn); !c.over && epoll.Quiet(c.fd) {
+			s.count.shed.Inc()
+			c.close()
+			return true
+		}
+	}
+	return false
+}
+
+// Drain prepares the end: answers announce it, connections that go on coming for a moment are served, and
+// done is called when nothing is owed any more.
+func (s *Server) Drain(done func()) {
+	if s.draining {
+		return
+	}
+	s.draining = true
+	s.Loop.After(comeFor, func() { s.closeWaiting(false) })
+	s.Loop.After(comeFor+lastAccept, func() {
+		s.accept(1 << 20) // the kernel has accepted what waits there: it counts as taken
+		s.Loop.Close(s.fd)
+		s.fd = -1
+		s.closeWaiting(false)
+		s.Loop.After(halfMost, func() { s.closeWaiting(true) })
+		s.finish(done)
+	})
+}
+
+// finish waits until the last connection is closed.
+func (s *Server) finish(done func()) {
+	if len(s.conns) == 0 {
+		done()
+		return
+	}
+	s.Loop.After(10, func() { s.finish(done) })
+}
+
+// closeWaiting closes the connections between requests, and with half also those on which one has begun to
+// arrive and nothing more has come.
+func (s *Server) closeWaiting(half bool) {
+	for e := s.waiting.Front(); e != nil; {
+		c := e.Value.(*conn)
+		if e = e.Next(); (half || !c.dec.Begun()) && epoll.Quiet(c.fd) {
+			c.close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/driver/driver.go
@@ -0,0 +1,248 @@
+// Package driver joins the decisions to what carries them out: what happens to exchanges becomes events of
+// the module, and its actions become sends, answers and timers. It decides nothing and does no I/O; time is
+// passed in.
+package driver
+
+import (
+	"salttrack/balance"
+	"salttrack/internal/counter"
+	"salttrack/internal/exchange"
+	"salttrack/internal/invariant"
+	"salttrack/internal/timer"
+)
+
+// Upstreams carries attempts out.
+type Upstreams interface {
+	// Start begins an attempt. It ends by a call of Driver.Ended, perhaps before Start returns.
+	Start(*exchange.Attempt)
+	// Stop gives an attempt up: nothing more is awaited of it, and its connection is closed.
+	Stop(*exchange.Attempt)
+}
+
+// Driver is one instance of the module and what is open at it.
+type Driver struct {
+	now    func() balance.Millis
+	timers *timer.Heap
+	b      *balance.Balancer
+	ups    Upstreams
+	note   func(string) // takes what the module wants logged
+
+	open     map[balance.RequestID]*exchange.Exchange
+	timeouts map[*exchange.Attempt]*timer.Timer
+	next     balance.RequestID
+	queue    []balance.Event // what happened while an event was handled
+	busy     bool
+	counters counters
+}
+
+type counters struct {
+	taken, served, refused, failed, left *counter.Counter
+	sends, retries, cancels, lists       *counter.Counter
+	ends                                 [balance.Moot + 1]*counter.Counter
+}
+
+var outcomes = [...]string{balance.OK: "ok", balance.Errored: "error", balance.Full: "full",
+	balance.TimedOut: "timed_out", balance.ConnectFailed: "connect_failed", balance.Reset: "reset",
+	balance.Cancelled: "cancelled", balance.Moot: "moot"}
+
+// Options is what a driver works with.
+type Options struct {
+	Config    balance.Config
+	Seed      uint64
+	Now       func() balance.Millis // a clock that does not go back
+	Timers    *timer.Heap
+	Upstreams Upstreams
+	Counters  *counter.Set
+	Note      func(string)
+}
+
+// New returns a driver whose instance has just started. Start sets it going.
+func New(o Options) *Driver {
+	d := &Driver{now: o.Now, timers: o.Timers, ups: o.Upstreams, note: o.Note,
+		open: map[balance.RequestID]*exchange.Exchange{}, timeouts: map[*exchange.Attempt]*timer.Timer{}}
+	c := &d.counters
+	c.taken = o.Counters.New("taken")
+	c.served, c.refused = o.Counters.New("served"), o.Counters.New("refused")
+	c.failed, c.left = o.Counters.New("failed"), o.Counters.New("left")
+	o.Counters.Reading("open", func() uint64 { return uint64(d.Open()) })
+	c.sends, c.retries = o.Counters.New("attempts"), o.Counters.New("attempts_again")
+	for i, name := range outcomes {
+		c.ends[i] = o.Counters.New("ended_" + name)
+	}
+	c.cancels, c.lists = o.Counters.New("cancels"), o.Counters.New("lists")
+	d.b = balance.New(o.Config, o.Seed, o.Now())
+	return d
+}
+
+// Start carries out what the instance wants at its start.
+func (d *Driver) Start() { d.handle(nil) }
+
+// Open is the number of exchanges that are owed an answer.
+func (d *Driver) Open() int {
+	c := &d.counters
+	return int(c.taken.Value() - c.served.Value() - c.refused.Value() - c.failed.Value() - c.left.Value())
+}
+
+// Take hands a request to the module. Its answer may come before Take returns.
+func (d *Driver) Take(x *exchange.Exchange) {
+	d.next++
+	for d.open[d.next] != nil || d.next == 0 { // ids come round after 2^32 requests
+		d.next++
+	}
+	x.ID = d.next
+	d.open[x.ID] = x
+	d.counters.taken.Inc()
+	d.handle(&balance.Event{Kind: balance.EventRequest, Request: x.ID, Class: x.Class, Tenant: x.Tenant,
+		ClientRetry: x.Resent, ExpiresIn: max(0, x.Expires-d.now())})
+}
+
+// Leave tells that the caller of an exchange has gone.
+func (d *Driver) Leave(x *exchange.Exchange) {
+	if d.finish(x, exchange.Answer{Verdict: exchange.Left}) {
+		d.handle(&balance.Event{Kind: balance.EventLeft, Request: x.ID})
+	}
+}
+
+// Ended tells how an attempt ended. What is told of one that has ended already is passed over.
+func (d *Driver) Ended(a *exchange.Attempt, r exchange.Result) {
+	x := a.Exchange
+	if !x.End(a) {
+		return
+	}
+	d.timers.Stop(d.timeouts[a])
+	delete(d.timeouts, a)
+	d.counters.ends[r.Outcome].Inc()
+	if r.Outcome == balance.OK { // the first whole answer goes to the caller, whatever the module thinks
+		d.finish(x, exchange.Answer{Verdict: exchange.Served, Body: r.Body})
+	}
+	d.handle(&balance.Event{Kind: balance.EventOutcome, Request: x.ID, Attempt: a.Number, Upstream: a.Upstream,
+		Outcome: r.Outcome, Spent: d.now() - a.Sent, Done: x.Verdict() != exchange.Open,
+		Reported: r.Reported, Held: r.Held})
+	d.forget(x)
+}
+
+// List tells news of the upstreams: all of them, or those that changed.
+func (d *Driver) List(entries []balance.Entry, full bool) {
+	d.counters.lists.Inc()
+	kind := balance.EventListDelta
+	if full {
+		kind = balance.EventListFull
+	}
+	d.handle(&balance.Event{Kind: kind, List: entries})
+}
+
+// handle gives an event to the module and carries out its actions. What happens meanwhile waits: the module
+// takes one event after the other, and its actions stand until the next.
+func (d *Driver) handle(e *balance.Event) {
+	if d.busy {
+		d.queue = append(d.queue, *e)
+		return
+	}
+	d.busy = true
+	if e != nil {
+		d.b.Handle(d.now(), e)
+	}
+	d.carryOut()
+	for i := 0; i < len(d.queue); i++ {
+		d.b.Handle(d.now(), &d.queue[i])
+		d.carryOut()
+	}
+	clear(d.queue)
+	d.queue = d.queue[:0]
+	d.busy = false
+}
+
+func (d *Driver) carryOut() {
+	for _, a := range d.b.Actions() {
+		switch a.Kind {
+		case balance.ActTimer:
+			cookie := a.Cookie
+			d.timers.Set(d.now()+max(0, a.After), func() {
+				d.handle(&balance.Event{Kind: balance.EventTimer, Cookie: cookie})
+			})
+		case balance.ActTrack: // the list is always watched, asked for or not
+		case balance.ActLog:
+			d.note(a.Text)
+		default:
+			if x := d.open[a.Request]; x != nil {
+				d.act(x, &a)
+			}
+		}
+	}
+}
+
+// act carries out an action on an exchange.
+func (d *Driver) act(x *exchange.Exchange, a *balance.Action) {
+	switch a.Kind {
+	case balance.ActSend:
+		d.send(x, a)
+	case balance.ActRefuse:
+		d.finish(x, exchange.Answer{Verdict: exchange.Refused, RetryAfter: a.After})
+	case balance.ActFail:
+		d.finish(x, exchange.Answer{Verdict: exchange.Failed})
+	case balance.ActCancel:
+		if a.Attempt < len(x.Attempts) && !x.Attempts[a.Attempt].Ended {
+			d.counters.cancels.Inc()
+			d.stop(x.Attempts[a.Attempt], balance.Cancelled)
+		}
+	}
+}
+
+// send begins an attempt. One that comes after the final answer is moot: the module may have wanted it while
+// the caller left. The time-out is cut to the time at which the caller gives up.
+func (d *Driver) send(x *exchange.Exchange, a *balance.Action) {
+	if x.Verdict() != exchange.Open {
+		d.counters.ends[balance.Moot].Inc()
+		d.handle(&balance.Event{Kind: balance.EventOutcome, Request: x.ID, Attempt: x.Moot(a.Upstream).Number,
+			Upstream: a.Upstream, Outcome: balance.Moot, Done: true})
+		return
+	}
+	now, until := d.now(), x.Expires
+	if a.After != 0 {
+		until = min(until, now+max(0, a.After))
+	}
+	try := x.Begin(a.Upstream, now, until)
+	d.counters.sends.Inc()
+	if try.Number > 0 {
+		d.counters.retries.Inc()
+	}
+	d.timeouts[try] = d.timers.Set(until, func() { d.stop(try, balance.TimedOut) })
+	d.ups.Start(try)
+}
+
+// stop gives up an attempt that is out. One whose request was not written whole never ran, so a time-out
+// finds that it could not connect; one that is called off was not the upstream's fault and stays so.
+func (d *Driver) stop(a *exchange.Attempt, how balance.Outcome) {
+	if how == balance.TimedOut && !a.Whole {
+		how = balance.ConnectFailed
+	}
+	d.ups.Stop(a)
+	d.Ended(a, exchange.Result{Outcome: how})
+}
+
+// finish gives the final answer of an exchange, and reports whether this was it.
+func (d *Driver) finish(x *exchange.Exchange, a exchange.Answer) bool {
+	if !x.Finish(a) {
+		return false
+	}
+	switch c := &d.counters; a.Verdict {
+	case exchange.Served:
+		c.served.Inc()
+	case exchange.Refused:
+		c.refused.Inc()
+	case exchange.Failed:
+		c.failed.Inc()
+	case exchange.Left:
+		c.left.Inc()
+	}
+	d.forget(x)
+	return true
+}
+
+// forget drops an exchange that has its answer and no attempt out.
+func (d *Driver) forget(x *exchange.Exchange) {
+	if x.Idle() && d.open[x.ID] == x {
+		delete(d.open, x.ID)
+		invariant.Check(len(d.open) >= d.Open(), "who is owed an answer is known")
+	}
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,118 @@
+// Package exchange holds the one thing in which the callers' side and the upstreams' side meet: a request
+// that was taken, its attempts, and its single final answer. It does no I/O and knows no protocol.
+package exchange
+
+import (
+	"salttrack/balance"
+	"salttrack/internal/invariant"
+)
+
+// Verdict is how an exchange ended.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Open Verdict = iota
+	Served
+	Refused // trying again is harmless
+	Failed
+	Left // the caller has gone, nothing is owed
+)
+
+// Answer is the final answer of an exchange.
+type Answer struct {
+	Verdict    Verdict
+	Body       []byte         // of a served one: what an upstream made for this request
+	RetryAfter balance.Millis // of a refused one: when to come back, 0 for no advice
+}
+
+// Caller is where a request came from. It is told the final answer, once, unless it has left.
+type Caller interface {
+	Answer(*Exchange, Answer)
+}
+
+// Exchange is one request that was taken.
+type Exchange struct {
+	ID       balance.RequestID
+	Class    uint8
+	Tenant   uint16
+	Resent   bool           // the caller marked it as a repeat
+	Expires  balance.Millis // when the caller gives up, by the loop's clock
+	Message  any            // the decoded request, which only the two sides of its protocol look into
+	Attempts []*Attempt
+
+	caller  Caller
+	verdict Verdict
+	out     int // attempts that have not ended
+}
+
+// Attempt is one send of an exchange to an upstream.
+type Attempt struct {
+	Exchange *Exchange
+	Number   int
+	Upstream balance.UpstreamID
+	Sent     balance.Millis
+	Until    balance.Millis // when it is no longer waited for
+	Whole    bool           // the request's last byte was written: it may have run
+	Ended    bool
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Outcome  balance.Outcome
+	Body     []byte // of OK
+	Reported bool   // the upstream told Held
+	Held     float64
+}
+
+// New returns an exchange for a request of the caller.
+func New(caller Caller, message any) *Exchange {
+	return &Exchange{caller: caller, Message: message}
+}
+
+// Verdict is how the exchange ended, Open while it has not.
+func (x *Exchange) Verdict() Verdict { return x.verdict }
+
+// Idle reports whether the exchange has ended and none of its attempts is out.
+func (x *Exchange) Idle() bool { return x.verdict != Open && x.out == 0 }
+
+// Finish gives the final answer. Only the first counts; it reports whether this was it.
+func (x *Exchange) Finish(a Answer) bool {
+	invariant.Check(a.Verdict != Open, "an answer has a verdict")
+	if x.verdict != Open {
+		return false
+	}
+	x.verdict = a.Verdict
+	if a.Verdict != Left {
+		x.caller.Answer(x, a)
+	}
+	x.caller = nil
+	return true
+}
+
+// Begin enters a new attempt.
+func (x *Exchange) Begin(up balance.UpstreamID, now, until balance.Millis) *Attempt {
+	invariant.Check(x.verdict == Open, "nothing goes out after the final answer")
+	a := &Attempt{Exchange: x, Number: len(x.Attempts), Upstream: up, Sent: now, Until: until}
+	x.Attempts = append(x.Attempts, a)
+	x.out++
+	return a
+}
+
+// Moot enters an attempt that is not made, since the exchange has ended.
+func (x *Exchange) Moot(up balance.UpstreamID) *Attempt {
+	a := &Attempt{Exchange: x, Number: len(x.Attempts), Upstream: up, Ended: true}
+	x.Attempts = append(x.Attempts, a)
+	return a
+}
+
+// End notes that an attempt is over. It reports whether it was not before.
+func (x *Exchange) End(a *Attempt) bool {
+	if a.Ended {
+		return false
+	}
+	a.Ended = true
+	x.out--
+	invariant.Check(x.out >= 0, "no more attempts end than began")
+	return true
+}
--- /dev/null
+++ b/internal/http1/request.go
@@ -0,0 +1,162 @@
+package http1
+
+import (
+	"bytes"
+	"math"
+	"strconv"
+)
+
+// Request is one request of a caller, and what goes on of it to an upstream.
+type Request struct {
+	Method    string
+	Target    string // path and query as they came
+	Txn       string
+	Lane      string
+	Key       string // Idempotency-Key
+	Labels    string
+	Remaining float64 // seconds that the sender waits; NaN if not told
+	Resent    bool
+	Close     bool // the connection ends with the answer
+	Continue  bool // the sender waits for 100 before it sends the body
+	Body      []byte
+}
+
+// RequestDecoder decodes the requests of one connection, one after the other.
+type RequestDecoder struct {
+	decoder
+	req  Request
+	conn persistence
+}
+
+// NewRequestDecoder returns a decoder ready for its first request.
+func NewRequestDecoder() *RequestDecoder {
+	d := &RequestDecoder{}
+	d.Reset()
+	return d
+}
+
+// Reset makes the decoder ready for the next request.
+func (d *RequestDecoder) Reset() {
+	d.decoder.reset()
+	d.req, d.conn = Request{Remaining: math.NaN()}, persistence{}
+}
+
+// Feed takes bytes until a request is whole and returns how many it took. After an error the rest of the
+// connection means nothing.
+func (d *RequestDecoder) Feed(p []byte) (int, error) { return d.feed(p, d) }
+
+// Done reports whether a whole request is there.
+func (d *RequestDecoder) Done() bool { return d.state == inDone }
+
+// Begun reports whether a part of a request has come.
+func (d *RequestDecoder) Begun() bool { return d.begun() }
+
+// WantsContinue reports whether the sender waits for leave to send the body.
+func (d *RequestDecoder) WantsContinue() bool {
+	return d.req.Continue && len(d.body) == 0 && (d.state == inBody || d.state == inChunkSize)
+}
+
+// Request returns the whole request.
+func (d *RequestDecoder) Request() Request {
+	d.req.Body, d.req.Close = d.body, d.conn.ends()
+	return d.req
+}
+
+func (d *RequestDecoder) start(line []byte) error {
+	method, rest, _ := bytes.Cut(line, []byte(" "))
+	target, proto, _ := bytes.Cut(rest, []byte(" "))
+	if len(method) == 0 || len(target) == 0 || target[0] != '/' {
+		return bad("malformed request line")
+	}
+	for _, c := range method {
+		if !token(c) {
+			return bad("malformed method")
+		}
+	}
+	if bytes.IndexByte(target, '\t') >= 0 {
+		return bad("malformed target")
+	}
+	var ok bool
+	if d.conn.minor, ok = version(proto); !ok {
+		return &Error{505, "not HTTP/1"}
+	}
+	d.req.Method, d.req.Target = string(method), string(target)
+	return nil
+}
+
+func (d *RequestDecoder) field(name, value []byte) error {
+	r := &d.req
+	for _, f := range [...]struct {
+		name string
+		into *string
+	}{{"X-Txn", &r.Txn}, {"X-Lane", &r.Lane}, {"Idempotency-Key", &r.Key}, {"X-Labels", &r.Labels}} {
+		if is(name, f.name) {
+			if *f.into != "" && *f.into != string(value) {
+				return bad("%s given twice", f.name)
+			}
+			*f.into = string(value)
+			return nil
+		}
+	}
+	switch {
+	case is(name, "X-Remaining"):
+		s, err := strconv.ParseFloat(string(value), 64)
+		if err != nil || math.IsNaN(s) || math.IsInf(s, 0) {
+			return bad("malformed X-Remaining")
+		}
+		r.Remaining = s
+	case is(name, "X-Resent"):
+		r.Resent = string(value) == "1"
+	case is(name, "Connection"):
+		d.conn.field(value)
+	case is(name, "Expect"):
+		if !is(value, "100-continue") {
+			return &Error{417, "expectation not known"}
+		}
+		r.Continue = d.conn.minor > 0
+	}
+	return nil
+}
+
+func (d *RequestDecoder) framing(f *frame) (state, error) {
+	switch {
+	case f.chunked:
+		if d.conn.minor == 0 {
+			return inDone, bad("chunks in HTTP/1.0")
+		}
+		return inChunkSize, nil
+	case f.length > 0:
+		return inBody, nil
+	}
+	return inDone, nil
+}
+
+// AppendRequest encodes a request for an upstream at the given host. Remaining is how long its answer is
+// waited for, in milliseconds.
+func AppendRequest(p []byte, r *Request, host string, remaining float64) []byte {
+	p = append(append(append(append(p, r.Method...), ' '), r.Target...), " HTTP/1.1\r\n"...)
+	p = appendField(p, "Host", host)
+	p = appendField(p, "X-Txn", r.Txn)
+	p = appendField(p, "X-Lane", r.Lane)
+	p = appendField(p, "Idempotency-Key", r.Key)
+	p = appendField(p, "X-Labels", r.Labels)
+	p = append(p, "X-Remaining: "...)
+	p = append(strconv.AppendFloat(p, max(0, remaining)/1000, 'f', 3, 64), "\r\n"...)
+	if r.Resent {
+		p = appendField(p, "X-Resent", "1")
+	}
+	if len(r.Body) > 0 || r.Method != "GET" {
+		p = append(p, "Content-Length: "...)
+		p = append(strconv.AppendInt(p, int64(len(r.Body)), 10), "\r\n"...)
+	}
+	p = append(p, "\r\n"...)
+	return append(p, r.Body...)
+}
+
+// appendField adds a field, unless its value is empty.
+func appendField(p []byte, name, value string) []byte {
+	if value == "" {
+		return p
+	}
+	return append(append(append(append(p, name...), ": "...), value...), "\r\n"...)
+}
--- /dev/null
+++ b/internal/invariant/debug.go
@@ -0,0 +1,6 @@
+//go:build debug
+
+package invariant
+
+// Debug tells whether a breach panics.
+const Debug = true
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,89 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"salttrack/balance"
+)
+
+// lines of a made-up deployment with all that this program needs.
+func lines(change ...string) string {
+	lines := map[string]string{
+		"me": "1", "replicas_of_me": "2", "zone": "0", "stage": "0", "discovery": "push", "granularity_ms": "5.0",
+		"invariants.start_capacity": "0.2", "invariants.cold_ms": "9000.0", "invariants.fall_multiple": "3.0",
+		"invariants.fall_ms": "1500.0", "limits.max_attempts": "4", "limits.cancel": "true",
+		"limits.second_copies": "true", "limits.retry_after": "true", "limits.max_retry_after_ms": "2000.0",
+		"report.columns": "util,latency_ms", "classes.count": "2", "some.other.key": "x",
+		"classes.0.on_time_ms": "800.0", "classes.0.deadline_ms": "2000.0", "classes.0.worth": "12.0",
+		"classes.0.idempotency": "retryable", "classes.1.on_time_ms": "1200.0", "classes.1.deadline_ms": "3000.0",
+		"classes.1.worth": "1.0", "classes.1.idempotency": "dedup", "classes.1.group": "cell", "classes.1.window_ms": "7000.0",
+	}
+	for _, c := range change {
+		path, value, _ := strings.Cut(c, "=")
+		if lines[path] = value; value == "" {
+			delete(lines, path)
+		}
+	}
+	var b strings.Builder
+	for path, value := range lines {
+		fmt.Fprintf(&b, "%s=%s\n", path, value)
+	}
+	return b.String()
+}
+
+func TestLines(t *testing.T) {
+	c := ParseLines([]byte("a.b=1.5\nlist=x,y\nempty=\nyes=true\nunknown.key=7\n"))
+	if c.Num("a.b") != 1.5 || len(c.List("list")) != 2 || len(c.List("empty")) != 0 || !c.Bool("yes") ||
+		c.NumOr("absent", 4) != 4 || c.Err() != nil {
+		t.Errorf("conf %+v", c)
+	}
+	for _, tt := range []struct {
+		text string
+		get  func(c *Values)
+		want string
+	}{
+		{"", func(c *Values) { c.Num("zone") }, "setting zone is missing"},
+		{"zone=x", func(c *Values) { c.Num("zone") }, `zone="x" is not a number`},
+		{"zone=-1", func(c *Values) { c.Int("zone") }, "is not a number from 0"},
+		{"zone=1e99", func(c *Values) { c.Int("zone") }, "is not a number from 0"},
+		{"flag=maybe", func(c *Values) { c.Bool("flag") }, "neither true nor false"},
+		{"nonsense", func(*Values) {}, "line 1 has no '='"},
+	} {
+		c := ParseLines([]byte(tt.text))
+		if tt.get(c); c.Err() == nil || !strings.Contains(c.Err().Error(), tt.want) {
+			t.Errorf("%q: %v, want %q", tt.text, c.Err(), tt.want)
+		}
+	}
+}
+
+func TestBuild(t *testing.T) {
+	cfg, err := Build(ParseLines([]byte(lines("report.columns=util,inflight", "discovery=ask", "tenants.count=1", "tenants.0.quota_per_s=40.5",
+		"over_share_worth=0.1", "limits.retry_after=false"))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cfg.Inflight != 1 || !cfg.Ask || cfg.MaxRetryAfter != 0 || len(cfg.TenantQuota) != 1 ||
+		cfg.TenantQuota[0] != 40.5 || cfg.Classes[1].Effect != balance.Keyed || cfg.Classes[1].Group != balance.GroupCell ||
+		cfg.Classes[1].Window != 7000 || cfg.Classes[0].Effect != balance.Safe || cfg.OverShareWorth != 0.1 {
+		t.Errorf("%+v", cfg)
+	}
+	cfg, err = Build(ParseLines([]byte(lines("tenants="))))
+	if err != nil || cfg.Inflight != -1 || len(cfg.TenantQuota) != 0 || cfg.Tiers != 1 {
+		t.Errorf("%v %+v", err, cfg)
+	}
+}
+
+func FuzzLines(f *testing.F) {
+	f.Add([]byte("a=1\nb=x,y\n"))
+	f.Add([]byte("=\n\n=="))
+	f.Fuzz(func(t *testing.T, p []byte) {
+		c := ParseLines(p)
+		if n := c.Int("a"); n < 0 || n > 1<<20 {
+			t.Fatalf("Int gives %d", n)
+		}
+		c.Bool("b")
+		c.List("b")
+	})
+}
--- a/internal/simwire/conf.go
+++ b/internal/settings/values.go
@@ -1,4 +1,6 @@
-package simwire
+// Package settings builds the configuration of an instance, for the simulator and for the sockets, from what
+// either gives it: the same paths and values, as lines or as nested JSON.
+package settings
 
 import (
 	"fmt"
@@ -6,15 +8,15 @@
 	"strings"
 )
 
-// Conf holds an instance's settings by path. Reading through it collects what is missing or malformed.
-type Conf struct {
+// Values holds an instance's settings by path. Reading through it collects what is missing or malformed.
+type Values struct {
 	values map[string]string
 	err    error
 }
 
-// ParseConf reads path=value lines.
-func ParseConf(text []byte) *Conf {
-	c := &Conf{values: map[string]string{}}
+// ParseLines reads path=value lines.
+func ParseLines(text []byte) *Values {
+	c := &Values{values: map[string]string{}}
 	for n, line := range strings.Split(string(text), "\n") {
 		if line == "" {
 			continue
@@ -30,19 +32,19 @@
 }
 
 // Err returns the first fault met.
-func (c *Conf) Err() error { return c.err }
+func (c *Values) Err() error { return c.err }
 
-func (c *Conf) fail(err error) {
+func (c *Values) fail(err error) {
 	if c.err == nil {
 		c.err = err
 	}
 }
 
 // Has reports whether a path is set.
-func (c *Conf) Has(path string) bool { _, ok := c.values[path]; return ok }
+func (c *Values) Has(path string) bool { _, ok := c.values[path]; return ok }
 
 // Str returns a needed text.
-func (c *Conf) Str(path string) string {
+func (c *Values) Str(path string) string {
 	v, ok := c.values[path]
 	if !ok {
 		c.fail(fmt.Errorf("setting %s is missing", path))
@@ -51,7 +53,7 @@
 }
 
 // Num returns a needed number.
-func (c *Conf) Num(path string) float64 {
+func (c *Values) Num(path string) float64 {
 	v := c.Str(path)
 	x, err := strconv.ParseFloat(v, 64)
 	if err != nil || x != x {
@@ -62,7 +64,7 @@
 }
 
 // NumOr returns a number, or the given one where the path is absent.
-func (c *Conf) NumOr(path string, absent float64) float64 {
+func (c *Values) NumOr(path string, absent float64) float64 {
 	if !c.Has(path) {
 		return absent
 	}
@@ -70,7 +72,7 @@
 }
 
 // Int returns a needed whole number from 0 to 2^20.
-func (c *Conf) Int(path string) int {
+func (c *Values) Int(path string) int {
 	x := c.Num(path)
 	if x < 0 || x > 1<<20 || x != float64(int(x)) {
 		c.fail(fmt.Errorf("setting %s=%q is not a number from 0 to %d", path, c.values[path], 1<<20))
@@ -80,7 +82,7 @@
 }
 
 // Bool returns a needed truth value.
-func (c *Conf) Bool(path string) bool {
+func (c *Values) Bool(path string) bool {
 	v := c.Str(path)
 	if v != "true" && v != "false" {
 		c.fail(fmt.Errorf("setting %s=%q is neither true nor false", path, v))
@@ -89,7 +91,7 @@
 }
 
 // List returns the parts of a list of plain values, none where it is empty or absent.
-func (c *Conf) List(path string) []string {
+func (c *Values) List(path string) []string {
 	if v := c.values[path]; v != "" {
 		return strings.Split(v, ",")
 	}
@@ -97,6 +99,6 @@
 }
 
 // Unknown notes that a path holds a word that it may not.
-func (c *Conf) Unknown(path string) {
+func (c *Values) Unknown(path string) {
 	c.fail(fmt.Errorf("setting %s=%q is not a known word", path, c.values[path]))
 }
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -171,31 +171,6 @@
 	}
 }
 
-func TestConf(t *testing.T) {
-	c := ParseConf([]byte("a.b=1.5\nlist=x,y\nempty=\nyes=true\nunknown.key=7\n"))
-	if c.Num("a.b") != 1.5 || len(c.List("list")) != 2 || len(c.List("empty")) != 0 || !c.Bool("yes") ||
-		c.NumOr("absent", 4) != 4 || c.Err() != nil {
-		t.Errorf("conf %+v", c)
-	}
-	for _, tt := range []struct {
-		text string
-		get  func(c *Conf)
-		want string
-	}{
-		{"", func(c *Conf) { c.Num("zone") }, "setting zone is missing"},
-		{"zone=x", func(c *Conf) { c.Num("zone") }, `zone="x" is not a number`},
-		{"zone=-1", func(c *Conf) { c.Int("zone") }, "is not a number from 0"},
-		{"zone=1e99", func(c *Conf) { c.Int("zone") }, "is not a number from 0"},
-		{"flag=maybe", func(c *Conf) { c.Bool("flag") }, "neither true nor false"},
-		{"nonsense", func(*Conf) {}, "line 1 has no '='"},
-	} {
-		c := ParseConf([]byte(tt.text))
-		if tt.get(c); c.Err() == nil || !strings.Contains(c.Err().Error(), tt.want) {
-			t.Errorf("%q: %v, want %q", tt.text, c.Err(), tt.want)
-		}
-	}
-}
-
 func FuzzBatch(f *testing.F) {
 	for _, s := range []string{emptyBatch, threeBatch, listBatch, outcomeBatch} {
 		f.Add(unhex(f, s))
@@ -215,16 +190,3 @@
 		}
 	})
 }
-
-func FuzzConf(f *testing.F) {
-	f.Add([]byte("a=1\nb=x,y\n"))
-	f.Add([]byte("=\n\n=="))
-	f.Fuzz(func(t *testing.T, p []byte) {
-		c := ParseConf(p)
-		if n := c.Int("a"); n < 0 || n > 1<<20 {
-			t.Fatalf("Int gives %d", n)
-		}
-		c.Bool("b")
-		c.List("b")
-	})
-}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,395 @@
+// Package upstream carries attempts to upstreams: connections, their reuse, and what comes back.
+package upstream
+
+import (
+	"container/list"
+	"net/netip"
+
+	"golang.org/x/sys/unix"
+
+	"salttrack/balance"
+	"salttrack/internal/counter"
+	"salttrack/internal/epoll"
+	"salttrack/internal/exchange"
+	"salttrack/internal/http1"
+	"salttrack/internal/timer"
+)
+
+// Idle connections are dropped ahead of the upstream's own time, which runs from when it wrote its last
+// answer: a request that crosses its close ends as a reset, and may not be repeated where it is unsafe.
+const idleShare = 0.9
+
+// readMost is how many buffers one turn reads from one connection: a peer that sends without end must not
+// keep the others waiting.
+const readMost = 4
+
+// Listener is told how attempts ended.
+type Listener interface {
+	Ended(*exchange.Attempt, exchange.Result)
+}
+
+// Options is what a pool works with.
+type Options struct {
+	Loop           *epoll.Loop
+	Table          *epoll.Table
+	Counters       *counter.Set
+	ConnectTimeout balance.Millis
+	KeepAlive      balance.Millis
+	Reports        bool // answers may tell the requests in hand
+}
+
+// Pool holds the connections to all upstreams.
+type Pool struct {
+	loop     *epoll.Loop
+	table    *epoll.Table
+	listener Listener
+	connect  balance.Millis
+	keep     balance.Millis
+	reports  bool
+
+	ups   map[balance.UpstreamID]*target
+	out   map[*exchange.Attempt]*conn
+	idle  *list.List // of *conn, the longest idle first
+	buf   []byte     // for reading, reused
+	count counters
+}
+
+type counters struct {
+	opened, reused, refused, late, shed, closed, stale, malformed, noDescriptor *counter.Counter
+}
+
+// target is where one upstream listens, and its idle connections, the last used at the end.
+type target struct {
+	addr    netip.AddrPort
+	host    string
+	started balance.Millis
+	gone    bool
+	idle    []*conn
+}
+
+// New returns a pool without upstreams.
+func New(o Options) *Pool {
+	p := &Pool{loop: o.Loop, table: o.Table, connect: o.ConnectTimeout, keep: o.KeepAlive * idleShare,
+		reports: o.Reports, ups: map[balance.UpstreamID]*target{}, out: map[*exchange.Attempt]*conn{},
+		idle: list.New(), buf: make([]byte, 64<<10)}
+	n := o.Counters.New
+	p.count = counters{opened: n("up_connections"), reused: n("up_reused"), refused: n("up_connect_failed"),
+		late: n("up_connect_timed_out"), shed: n("up_shed"), closed: n("up_closed_idle"), stale: n("up_closed_by_peer"),
+		malformed: n("up_malformed"), noDescriptor: n("up_no_descriptor")}
+	o.Counters.Reading("up_open", func() uint64 { return uint64(len(p.out) + p.idle.Len()) })
+	o.Table.Shed(p.shedIdle)
+	return p
+}
+
+// Listen names who is told how attempts ended.
+func (p *Pool) Listen(l Listener) { p.listener = l }
+
+// Place tells where an upstream listens. Idle connections to another place, or to a process that is no more,
+// are closed.
+func (p *Pool) Place(id balance.UpstreamID, addr netip.AddrPort, started balance.Millis) {
+	t := p.ups[id]
+	if t == nil {
+		t = &target{}
+		p.ups[id] = t
+	}
+	if t.addr != addr || t.started != started {
+		p.drop(t)
+	}
+	t.addr, t.host, t.started = addr, addr.String(), started
+}
+
+// Remove forgets an upstream that is gone. What is out there goes on.
+func (p *Pool) Remove(id balance.UpstreamID) {
+	if t := p.ups[id]; t != nil {
+		p.drop(t)
+		t.gone = true
+		delete(p.ups, id)
+	}
+}
+
+func (p *Pool) drop(t *target) {
+	for len(t.idle) > 0 {
+		p.count.closed.Inc()
+		t.idle[len(t.idle)-1].close()
+	}
+}
+
+// shedIdle closes the connection that has been idle longest.
+func (p *Pool) shedIdle() bool {
+	e := p.idle.Front()
+	if e == nil {
+		return false
+	}
+	p.count.shed.Inc()
+	e.Value.(*conn).close()
+	return true
+}
+
+// Start begins an attempt on an idle connection, the last used first, or on a new one.
+func (p *Pool) Start(a *exchange.Attempt) {
+	t := p.ups[a.Upstream]
+	if t == nil { // the module sends to what its list names, and the list and the pool are told together
+		p.listener.Ended(a, exchange.Result{Outcome: balance.ConnectFailed})
+		return
+	}
+	for len(t.idle) > 0 {
+		c := t.idle[len(t.idle)-1]
+		if epoll.Quiet(c.fd) {
+			p.count.reused.Inc()
+			c.leaveIdle()
+			c.begin(a)
+			return
+		}
+		p.count.stale.Inc() // it was closed in this very turn
+		c.close()
+	}
+	c, err := p.open(t)
+	if err != nil {
+		p.listener.Ended(a, exchange.Result{Outcome: balance.ConnectFailed})
+		return
+	}
+	c.begin(a)
+}
+
+// open begins a connection.
+func (p *Pool) open(t *target) (*conn, error) {
+	if !p.table.Take() {
+		p.count.noDescriptor.Inc()
+		return nil, unix.EMFILE
+	}
+	fd, err := epoll.Connect(t.addr)
+	if err != nil {
+		p.table.Give()
+		p.count.refused.Inc()
+		return nil, err
+	}
+	c := &conn{pool: p, target: t, addr: t.addr, started: t.started, fd: fd, connecting: true,
+		dec: http1.NewResponseDecoder(nil)}
+	if err := p.loop.Add(fd, epoll.In|epoll.Out|epoll.Hup, c); err != nil {
+		unix.Close(fd)
+		p.table.Give()
+		return nil, err
+	}
+	p.count.opened.Inc()
+	c.timer = p.loop.After(p.connect, func() {
+		p.count.late.Inc()
+		c.end(balance.ConnectFailed)
+	})
+	return c, nil
+}
+
+// Stop gives an attempt up: its connection is closed, so that the upstream can see it.
+func (p *Pool) Stop(a *exchange.Attempt) {
+	if c := p.out[a]; c != nil {
+		c.detach()
+		c.close()
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	for _, t := range p.ups {
+		p.drop(t)
+	}
+	for _, c := range p.out {
+		c.detach()
+		c.close()
+	}
+}
+
+// conn is one connection. It is connecting, carries one attempt, or is idle.
+type conn struct {
+	pool       *Pool
+	target     *target
+	addr       netip.AddrPort // and started: of the process that it leads to
+	started    balance.Millis
+	fd         int
+	connecting bool
+	dec        *http1.ResponseDecoder
+	attempt    *exchange.Attempt
+	unsent     []byte       // of the request
+	timer      *timer.Timer // connect time-out, or the end of idleness
+	place      *list.Element
+	closed     bool
+}
+
+// begin gives the connection an attempt.
+func (c *conn) begin(a *exchange.Attempt) {
+	c.attempt = a
+	c.pool.out[a] = c
+	req := a.Exchange.Message.(*http1.Request)
+	c.unsent = http1.AppendRequest(nil, req, c.target.host, a.Until-c.pool.loop.Now())
+	if !c.connecting {
+		c.send()
+	}
+}
+
+// send writes what the kernel takes of the request. A connection that breaks before the last byte is
+// written has proved that the request never ran, unless an answer says otherwise.
+func (c *conn) send() {
+	n, err := epoll.Write(c.fd, c.unsent)
+	c.unsent = c.unsent[n:]
+	if err != nil {
+		c.receive()
+		if !c.closed && c.attempt != nil {
+			c.end(c.broken())
+		}
+		return
+	}
+	if len(c.unsent) == 0 {
+		c.unsent, c.attempt.Whole = nil, true
+		c.pool.loop.Watch(c.fd, epoll.In|epoll.Hup)
+	} else {
+		c.pool.loop.Watch(c.fd, epoll.In|epoll.Out|epoll.Hup)
+	}
+}
+
+// broken is the outcome of an attempt whose connection broke.
+func (c *conn) broken() balance.Outcome {
+	if c.attempt.Whole {
+		return balance.Reset
+	}
+	return balance.ConnectFailed
+}
+
+// Ready handles what the kernel tells of the connection.
+func (c *conn) Ready(events uint32) {
+	if c.connecting {
+		if err := epoll.Failed(c.fd); err != nil || events&epoll.Error != 0 {
+			c.pool.count.refused.Inc()
+			c.end(balance.ConnectFailed)
+			return
+		}
+		if events&epoll.Out == 0 {
+			return
+		}
+		c.connecting = false
+		c.pool.loop.Timers.Stop(c.timer)
+		c.timer = nil
+	}
+	if c.attempt == nil { // idle: whatever comes ends it
+		c.pool.count.stale.Inc()
+		c.close()
+		return
+	}
+	if len(c.unsent) > 0 && events&epoll.Out != 0 {
+		c.send()
+	}
+	if !c.closed && c.attempt != nil && events&^epoll.Out != 0 {
+		c.receive()
+	}
+}
+
+// receive reads what has come. An answer that is not whole says no more than that the connection broke.
+func (c *conn) receive() {
+	for i := 0; i < readMost && c.attempt != nil && !c.closed; i++ {
+		n, err := epoll.Read(c.fd, c.pool.buf)
+		switch {
+		case err == unix.EAGAIN:
+			return
+		case err != nil:
+			c.end(c.broken())
+		case n == 0 && c.dec.End():
+			c.answered(false)
+		case n == 0:
+			c.end(c.broken())
+		default:
+			c.decode(c.pool.buf[:n])
+		}
+	}
+}
+
+func (c *conn) decode(p []byte) {
+	n, err := c.dec.Feed(p)
+	if err != nil {
+		c.pool.count.malformed.Inc()
+		c.end(c.broken())
+		return
+	}
+	if c.dec.Done() {
+		c.answered(n == len(p))
+	}
+}
+
+// answered ends the attempt by a whole answer. The connection is kept if both sides are done with it.
+func (c *conn) answered(clean bool) {
+	r, a, whole := c.dec.Response(), c.attempt, len(c.unsent) == 0
+	result := exchange.Result{Outcome: balance.Errored}
+	switch {
+	case r.Status == 200 && !whole: // no answer to this request: it is not all written
+		c.pool.count.malformed.Inc()
+		result.Outcome = balance.ConnectFailed
+	case r.Status == 200:
+		result.Outcome, result.Body = balance.OK, r.Body
+	case (r.Status == 503 || r.Status == 504) && r.TurnedAway:
+		result.Outcome = balance.Full
+	}
+	if c.pool.reports {
+		result.Held, result.Reported = http1.Figure(r.Pressure, "inflight")
+	}
+	c.detach()
+	if clean && whole && !r.Close && c.current() {
+		c.rest()
+	} else {
+		c.close()
+	}
+	c.pool.listener.Ended(a, result)
+}
+
+// rest makes the connection idle.
+func (c *conn) rest() {
+	c.dec.Reset()
+	c.place = c.pool.idle.PushBack(c)
+	c.target.idle = append(c.target.idle, c)
+	c.timer = c.pool.loop.After(c.pool.keep, func() {
+		c.pool.count.closed.Inc()
+		c.close()
+	})
+}
+
+// current reports whether the upstream still is the process that the connection leads to.
+func (c *conn) current() bool {
+	return !c.target.gone && c.target.addr == c.addr && c.target.started == c.started
+}
+
+// leaveIdle takes the connection out of the idle ones.
+func (c *conn) leaveIdle() {
+	if c.place == nil {
+		return
+	}
+	c.pool.idle.Remove(c.place)
+	c.place = nil
+	for i := len(c.target.idle) - 1; i >= 0; i-- {
+		if c.target.idle[i] == c {
+			c.target.idle = append(c.target.idle[:i], c.target.idle[i+1:]...)
+			break
+		}
+	}
+	c.pool.loop.Timers.Stop(c.timer)
+	c.timer = nil
+}
+
+// detach parts the connection from its attempt.
+func (c *conn) detach() {
+	delete(c.pool.out, c.attempt)
+	c.attempt, c.unsent = nil, nil
+}
+
+// end closes the connection and ends its attempt.
+func (c *conn) end(how balance.Outcome) {
+	a := c.attempt
+	c.detach()
+	c.close()
+	c.pool.listener.Ended(a, exchange.Result{Outcome: how})
+}
+
+func (c *conn) close() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.leaveIdle()
+	c.pool.loop.Timers.Stop(c.timer)
+	c.pool.loop.Close(c.fd)
+	c.pool.table.Give()
+}
