--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -156,9 +156,11 @@
 		if d.frame.coded && d.frame.length >= 0 {
 			return bad("both a length and a transfer coding")
 		}
-		if d.state, err = h.framing(&d.frame); err != nil {
+		next, err := h.framing(&d.frame)
+		if err != nil { // and the message does not count as whole
 			return err
 		}
+		d.state = next
 		d.left = d.frame.length
 		if d.state == inBody && d.sink == nil && d.left > MaxBody {
 			return &Error{413, "body too large"}
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -47,9 +47,6 @@
 		if total += n; err != nil || !d.Done() || d.resp.Status >= 200 {
 			return total, err
 		}
-		if d.resp.Status == 101 { // nobody asked for another protocol
-			return total, bad("protocol switched")
-		}
 		d.Reset()
 	}
 }
@@ -106,6 +103,8 @@
 
 func (d *ResponseDecoder) framing(f *frame) (state, error) {
 	switch {
+	case d.resp.Status == 101: // nobody asked for it
+		return inDone, bad("protocol switched")
 	case d.resp.Status < 200 || d.resp.Status == 204 || d.resp.Status == 304:
 		return inDone, nil
 	case f.chunked:
