--- /dev/null
+++ b/internal/driver/driver_test.go
@@ -0,0 +1,243 @@
+package driver
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"salttrack/balance"
+	"salttrack/internal/counter"
+	"salttrack/internal/exchange"
+	"salttrack/internal/invariant"
+	"salttrack/internal/timer"
+)
+
+// rig plays the sockets to a driver, with a clock of its own.
+type rig struct {
+	t       *testing.T
+	d       *Driver
+	at      balance.Millis
+	timers  timer.Heap
+	count   counter.Set
+	out     []*exchange.Attempt
+	stopped []*exchange.Attempt
+	answers map[*exchange.Exchange][]exchange.Answer
+	onStart func(*exchange.Attempt) // in place of leaving it out
+}
+
+func (r *rig) Start(a *exchange.Attempt) {
+	if r.onStart != nil {
+		r.onStart(a)
+		return
+	}
+	a.Whole = true
+	r.out = append(r.out, a)
+}
+
+func (r *rig) Stop(a *exchange.Attempt) {
+	r.stopped = append(r.stopped, a)
+	r.drop(a)
+}
+
+func (r *rig) drop(a *exchange.Attempt) {
+	for i := range r.out {
+		if r.out[i] == a {
+			r.out = append(r.out[:i], r.out[i+1:]...)
+			return
+		}
+	}
+}
+
+func (r *rig) Answer(x *exchange.Exchange, a exchange.Answer) {
+	r.answers[x] = append(r.answers[x], a)
+}
+
+func config() balance.Config {
+	return balance.Config{Replicas: 1, Tiers: 1, Tick: 5, StartCapacity: 0.3, ColdFor: 9000, FallMultiple: 3, FallFor: 1500,
+		MaxAttempts: 4, CanCancel: true, SecondCopies: true, MaxRetryAfter: 1000, Classes: []balance.Class{
+			{Aim: 800, Deadline: 2000, Worth: 12, Effect: balance.Safe},
+			{Aim: 1200, Deadline: 3000, Worth: 1, Effect: balance.Unsafe},
+			{Aim: 1200, Deadline: 3000, Worth: 1, Effect: balance.Keyed, Group: balance.GroupZone, Window: 5000}}}
+}
+
+func newRig(t *testing.T, cfg balance.Config) *rig {
+	r := &rig{t: t, at: 1e12, answers: map[*exchange.Exchange][]exchange.Answer{}}
+	r.d = New(Options{Config: cfg, Seed: 1, Now: func() balance.Millis { return r.at }, Timers: &r.timers, Upstreams: r,
+		Counters: &r.count, Note: func(string) {}})
+	r.d.Start()
+	r.d.List([]balance.Entry{{ID: 1, State: balance.Ready}, {ID: 2, State: balance.Ready}, {ID: 3, State: balance.Ready}}, true)
+	return r
+}
+
+func (r *rig) take(class uint8, left balance.Millis) *exchange.Exchange {
+	x := exchange.New(r, nil)
+	x.Class, x.Expires = class, r.at+left
+	r.d.Take(x)
+	return x
+}
+
+func (r *rig) pass(ms balance.Millis) {
+	for end := r.at + ms; r.at < end; {
+		at, ok := r.timers.Next()
+		if !ok || at > end {
+			at = end
+		}
+		r.at = max(r.at, at)
+		r.timers.Run(r.at)
+	}
+}
+
+func (r *rig) end(a *exchange.Attempt, o balance.Outcome, body string) {
+	r.drop(a)
+	r.d.Ended(a, exchange.Result{Outcome: o, Body: []byte(body)})
+}
+
+func (r *rig) value(name string) uint64 {
+	v, ok := r.count.Value(name)
+	if !ok {
+		r.t.Fatalf("no counter %s", name)
+	}
+	return v
+}
+
+func TestServed(t *testing.T) {
+	r := newRig(t, config())
+	x := r.take(0, 1000)
+	r.pass(20)
+	r.end(r.out[0], balance.OK, "body")
+	if a := r.answers[x]; len(a) != 1 || a[0].Verdict != exchange.Served || string(a[0].Body) != "body" {
+		t.Errorf("%+v", a)
+	}
+	if len(r.d.open) != 0 || len(r.d.timeouts) != 0 {
+		t.Errorf("%d exchanges and %d time-outs are kept", len(r.d.open), len(r.d.timeouts))
+	}
+}
+
+// A time-out that finds the request not written whole proves that it never ran; one after that proves
+// nothing, and an unsafe request may then not be called harmless to repeat.
+func TestTimeOut(t *testing.T) {
+	for _, tt := range []struct {
+		whole bool
+		ended string
+		want  exchange.Verdict
+	}{{true, "ended_timed_out", exchange.Failed}, {false, "ended_connect_failed", exchange.Refused}} {
+		r := newRig(t, config())
+		x := r.take(1, 600)
+		r.out[0].Whole = tt.whole
+		r.pass(1000)
+		if a := r.answers[x]; len(a) != 1 || a[0].Verdict != tt.want || r.value(tt.ended) != 1 || len(r.stopped) != 1 {
+			t.Errorf("whole %v: %+v, %s %d, %d stopped", tt.whole, a, tt.ended, r.value(tt.ended), len(r.stopped))
+		}
+	}
+}
+
+func TestTimeOutIsCutToTheCallersTime(t *testing.T) {
+	r := newRig(t, config())
+	r.take(0, 300)
+	if a := r.out[0]; a.Until != r.at+300 {
+		t.Errorf("waits %.0f ms for a caller that waits 300", a.Until-r.at)
+	}
+	r.take(0, 5000)
+	if a := r.out[1]; a.Until >= r.at+800 {
+		t.Errorf("waits %.0f ms where the aim is 800", a.Until-r.at)
+	}
+}
+
+func TestCallerLeaves(t *testing.T) {
+	r := newRig(t, config())
+	x := r.take(0, 1000)
+	a := r.out[0]
+	r.d.Leave(x)
+	r.d.Leave(x)
+	if len(r.answers[x]) != 0 || len(r.stopped) != 1 || r.value("left") != 1 || r.value("ended_cancelled") != 1 {
+		t.Errorf("%d answers, %d stopped, left %d", len(r.answers[x]), len(r.stopped), r.value("left"))
+	}
+	r.d.Ended(a, exchange.Result{Outcome: balance.OK}) // crosses the cancel
+	if r.value("served") != 0 || len(r.d.open) != 0 {
+		t.Error("an answer for a caller that has left counts as served")
+	}
+}
+
+// An attempt that ends while it is being started must not reach the module in the middle of its actions.
+func TestAttemptEndsAtOnce(t *testing.T) {
+	r := newRig(t, config())
+	for range 30 { // a budget for retries
+		r.take(0, 1000)
+		r.pass(10)
+		r.end(r.out[0], balance.OK, "")
+	}
+	var ups []balance.UpstreamID
+	r.onStart = func(a *exchange.Attempt) {
+		ups = append(ups, a.Upstream)
+		r.d.Ended(a, exchange.Result{Outcome: balance.ConnectFailed})
+	}
+	x := r.take(1, 1000)
+	if len(ups) < 2 || ups[0] == ups[1] || len(r.answers[x]) != 1 || r.answers[x][0].Verdict != exchange.Refused {
+		t.Errorf("tried %v, answers %+v", ups, r.answers[x])
+	}
+	if r.d.busy || len(r.d.queue) != 0 || len(r.d.open) != 0 {
+		t.Error("something is left over")
+	}
+}
+
+func TestMootAfterTheCallerLeft(t *testing.T) {
+	r := newRig(t, config())
+	x := r.take(0, 1000)
+	r.d.Leave(x)
+	r.d.open[x.ID] = x // as it is while other attempts are out
+	r.d.act(x, &balance.Action{Kind: balance.ActSend, Request: x.ID, Upstream: 2})
+	if len(r.out) != 0 || r.value("ended_moot") != 1 {
+		t.Errorf("%d out, moot %d", len(r.out), r.value("ended_moot"))
+	}
+}
+
+// Whatever happens in whatever order, each request gets one answer or has left, nothing is remembered after,
+// and the counters add up at any moment.
+func TestCountersAddUp(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		cfg := config()
+		cfg.Stage = int(seed % 2)
+		r := newRig(t, cfg)
+		var taken []*exchange.Exchange
+		left := map[*exchange.Exchange]bool{}
+		broken := invariant.Broken()
+		for range 2000 {
+			switch k := rng.IntN(10); {
+			case k < 4:
+				taken = append(taken, r.take(uint8(rng.IntN(3)), balance.Millis(rng.IntN(3000))))
+			case k < 8 && len(r.out) > 0:
+				a := r.out[rng.IntN(len(r.out))]
+				a.Whole = rng.IntN(4) > 0
+				r.end(a, balance.Outcome(rng.IntN(int(balance.Cancelled))), "")
+			case k == 8 && len(taken) > 0:
+				x := taken[rng.IntN(len(taken))]
+				left[x] = left[x] || x.Verdict() == exchange.Open
+				r.d.Leave(x)
+			default:
+				state := balance.State(rng.IntN(3))
+				r.d.List([]balance.Entry{{ID: balance.UpstreamID(1 + rng.IntN(5)), State: state}}, false)
+			}
+			r.pass(balance.Millis(rng.IntN(20)))
+			if sum := r.value("served") + r.value("refused") + r.value("failed") + r.value("left") + r.value("open"); r.value("taken") != sum {
+				t.Fatalf("%d taken, %d accounted for", r.value("taken"), sum)
+			}
+		}
+		r.pass(10000)
+		for _, x := range taken {
+			if n := len(r.answers[x]); n != 1 && !left[x] || n > 0 && left[x] {
+				t.Fatalf("%d answers, left %v", n, left[x])
+			}
+		}
+		ended := uint64(0)
+		for _, name := range outcomes {
+			ended += r.value("ended_" + name)
+		}
+		if r.value("open") != 0 || len(r.d.open) != 0 || len(r.d.timeouts) != 0 || ended != r.value("attempts")+r.value("ended_moot") {
+			t.Errorf("open %d, %d known, %d timed; %d attempts, %d ended", r.value("open"), len(r.d.open), len(r.d.timeouts),
+				r.value("attempts"), ended)
+		}
+		if invariant.Broken() != broken {
+			t.Error("an invariant is broken")
+		}
+	}
+}
