--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,408 @@
+package upstream
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"salttrack/balance"
+	"salttrack/internal/counter"
+	"salttrack/internal/epoll"
+	"salttrack/internal/exchange"
+	"salttrack/internal/http1"
+)
+
+const patience = 10 * time.Second
+
+type ending struct {
+	a *exchange.Attempt
+	r exchange.Result
+}
+
+// rig is a pool on a loop of its own.
+type rig struct {
+	t     *testing.T
+	p     *Pool
+	loop  *epoll.Loop
+	count counter.Set
+	ends  chan ending
+}
+
+func (r *rig) Ended(a *exchange.Attempt, res exchange.Result)      { r.ends <- ending{a, res} }
+func (r *rig) Answer(x *exchange.Exchange, answer exchange.Answer) {}
+
+func newRig(t *testing.T, limit int) *rig {
+	t.Helper()
+	loop, err := epoll.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, loop: loop, ends: make(chan ending, 100)}
+	r.p = New(Options{Loop: loop, Table: epoll.NewTable(limit), Counters: &r.count, ConnectTimeout: 250, KeepAlive: 15000, Reports: true})
+	r.p.Listen(r)
+	done := make(chan error, 1)
+	go func() { done <- loop.Run() }()
+	t.Cleanup(func() {
+		loop.Post(func() { r.p.Close(); loop.Stop() })
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		if n := len(r.p.out) + r.p.idle.Len(); n != 0 || r.p.side.Crowded() && limit > 8 {
+			t.Errorf("%d connections are left", n)
+		}
+	})
+	return r
+}
+
+func (r *rig) do(f func()) {
+	done := make(chan struct{})
+	r.loop.Post(func() { f(); close(done) })
+	<-done
+}
+
+func (r *rig) counted(name string) (v uint64) {
+	r.do(func() { v, _ = r.count.Value(name) })
+	return v
+}
+
+func (r *rig) waitFor(name string, want uint64) {
+	r.t.Helper()
+	for end := time.Now().Add(patience); r.counted(name) != want; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatalf("%s is %d, want %d", name, r.counted(name), want)
+		}
+	}
+}
+
+// start sends a request to upstream 1.
+func (r *rig) start(body string) *exchange.Attempt {
+	x := exchange.New(r, &http1.Request{Method: "POST", Target: "/pay/x?y=z", Txn: "77", Lane: "pay", Key: "k", Body: []byte(body)})
+	var a *exchange.Attempt
+	r.do(func() {
+		a = x.Begin(1, r.loop.Now(), r.loop.Now()+480)
+		r.p.Start(a)
+	})
+	return a
+}
+
+func (r *rig) end(a *exchange.Attempt) exchange.Result {
+	r.t.Helper()
+	select {
+	case e := <-r.ends:
+		if e.a != a {
+			r.t.Fatal("another attempt ended")
+		}
+		a.Exchange.End(a)
+		return e.r
+	case <-time.After(patience):
+		r.t.Fatal("the attempt does not end")
+	}
+	return exchange.Result{}
+}
+
+// peer plays the upstream.
+type peer struct {
+	t *testing.T
+	l *net.TCPListener
+}
+
+func newPeer(t *testing.T, r *rig) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	r.do(func() { r.p.Place(1, netip.MustParseAddrPort(l.Addr().String()), 0) })
+	return &peer{t, l.(*net.TCPListener)}
+}
+
+type peerConn struct {
+	*net.TCPConn
+	in *bufio.Reader
+	t  *testing.T
+}
+
+func (p *peer) accept() *peerConn {
+	p.t.Helper()
+	p.l.SetDeadline(time.Now().Add(patience))
+	c, err := p.l.AcceptTCP()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &peerConn{c, bufio.NewReader(c), p.t}
+}
+
+func (c *peerConn) request() (*http.Request, string) {
+	c.t.Helper()
+	q, err := http.ReadRequest(c.in)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return q, string(body)
+}
+
+func TestOutcomes(t *testing.T) {
+	const keep, shut, abort = 0, 1, 2
+	tests := []struct {
+		name, answer string
+		then         int
+		want         balance.Outcome
+		body         string
+		reused       bool
+	}{
+		{"served", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", keep, balance.OK, "ab", true},
+		{"served in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", keep, balance.OK, "ab", true},
+		{"served after interim answers", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", keep, balance.OK, "ab", true},
+		{"served to the end", "HTTP/1.1 200 OK\r\n\r\nab", shut, balance.OK, "ab", false},
+		{"served, and ends", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab", keep, balance.OK, "ab", false},
+		{"served, older version", "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nab", keep, balance.OK, "ab", false},
+		{"served with more behind", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 200", keep, balance.OK, "ab", false},
+		{"error", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", keep, balance.Errored, "", true},
+		{"other status", "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", keep, balance.Errored, "", true},
+		{"turned away", "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", keep, balance.Full, "", true},
+		{"over already", "HTTP/1.1 504 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", keep, balance.Full, "", true},
+		{"503 that does not say it never ran", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", keep, balance.Errored, "", true},
+		{"500 that says it never ran", "HTTP/1.1 500 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", keep, balance.Errored, "", true},
+		{"ends without an answer", "", shut, balance.Reset, "", false},
+		{"breaks without an answer", "", abort, balance.Reset, "", false},
+		{"cut in the head", "HTTP/1.1 200 OK\r\nContent-Le", shut, balance.Reset, "", false},
+		{"cut in the body", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", shut, balance.Reset, "", false},
+		{"cut in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", shut, balance.Reset, "", false},
+		{"cut before the last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", shut, balance.Reset, "", false},
+		{"malformed", "nonsense\r\n\r\n", keep, balance.Reset, "", false},
+		{"too large", "HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n", keep, balance.Reset, "", false},
+	}
+	for _, tt := range tests {
+		r := newRig(t, 64)
+		p := newPeer(t, r)
+		a := r.start("payload")
+		c := p.accept()
+		if q, body := c.request(); body != "payload" || q.Method != "POST" || q.RequestURI != "/pay/x?y=z" || q.Header.Get("X-Txn") != "77" ||
+			q.Header.Get("Idempotency-Key") != "k" || q.Header.Get("X-Remaining") > "0.480" || q.Header.Get("X-Remaining") < "0.000" {
+			t.Errorf("%s: passed on %+v %q", tt.name, q, body)
+		}
+		io.WriteString(c, tt.answer)
+		switch tt.then {
+		case shut:
+			c.CloseWrite()
+		case abort:
+			c.SetLinger(0)
+			c.Close()
+		}
+		got := r.end(a)
+		if got.Outcome != tt.want || string(got.Body) != tt.body || !a.Whole {
+			t.Errorf("%s: outcome %v, body %q, whole %v", tt.name, got.Outcome, got.Body, a.Whole)
+		}
+		if idle := r.counted("up_open") == 1; idle != tt.reused {
+			t.Errorf("%s: the connection is kept: %v", tt.name, idle)
+		}
+		if !tt.reused {
+			continue
+		}
+		b := r.start("again")
+		c.request()
+		io.WriteString(c, tt.answer)
+		if got := r.end(b); got.Outcome != tt.want || r.counted("up_reused") != 1 {
+			t.Errorf("%s: again: outcome %v, reused %d", tt.name, got.Outcome, r.counted("up_reused"))
+		}
+	}
+}
+
+func TestLoadReport(t *testing.T) {
+	r := newRig(t, 64)
+	p := newPeer(t, r)
+	a := r.start("x")
+	io.WriteString(p.accept(), "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nX-Pressure: inflight=7,queue=2\r\nContent-Length: 0\r\n\r\n")
+	if got := r.end(a); !got.Reported || got.Held != 7 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// A connection that breaks before the request's last byte is written proves that it never ran.
+func TestBreaksBeforeTheLastByte(t *testing.T) {
+	r := newRig(t, 64)
+	p := newPeer(t, r)
+	a := r.start(strings.Repeat("x", 32<<20)) // far more than the kernel's buffers hold
+	c := p.accept()
+	c.SetLinger(0)
+	c.Close()
+	if got := r.end(a); got.Outcome != balance.ConnectFailed || a.Whole {
+		t.Errorf("outcome %v, whole %v", got.Outcome, a.Whole)
+	}
+}
+
+// An answer may come before the request is written. What it says counts, and the connection is of no more use.
+func TestEarlyAnswer(t *testing.T) {
+	for answer, want := range map[string]balance.Outcome{
+		"HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n": balance.Full,
+		"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n":                     balance.Errored,
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n":                     balance.ConnectFailed, // to what?
+	} {
+		r := newRig(t, 64)
+		p := newPeer(t, r)
+		a := r.start(strings.Repeat("x", 32<<20))
+		io.WriteString(p.accept(), answer)
+		if got := r.end(a); got.Outcome != want || r.counted("up_open") != 0 {
+			t.Errorf("%.12s: outcome %v, %d kept", answer, got.Outcome, r.counted("up_open"))
+		}
+	}
+}
+
+func TestCouldNotConnect(t *testing.T) {
+	r := newRig(t, 64)
+	p := newPeer(t, r)
+	p.l.Close()
+	if got := r.end(r.start("x")); got.Outcome != balance.ConnectFailed {
+		t.Errorf("refused: outcome %v", got.Outcome)
+	}
+	r.do(func() { r.p.Remove(1) })
+	if got := r.end(r.start("x")); got.Outcome != balance.ConnectFailed {
+		t.Errorf("unknown upstream: outcome %v", got.Outcome)
+	}
+}
+
+// A machine that has vanished answers no connect: a full queue of a listener does the same.
+func TestConnectNeverComesUp(t *testing.T) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close(fd)
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	addr := epoll.Local(fd)
+	for range 4 {
+		c, err := epoll.Connect(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer unix.Close(c)
+	}
+	r := newRig(t, 64)
+	r.do(func() { r.p.Place(1, addr, 0) })
+	a := r.start("x")
+	if got := r.end(a); got.Outcome != balance.ConnectFailed || a.Whole || r.counted("up_connect_timed_out") != 1 {
+		t.Errorf("outcome %v, whole %v, %d timed out", got.Outcome, a.Whole, r.counted("up_connect_timed_out"))
+	}
+}
+
+// To give an attempt up is to close its connection, with the answer still owed.
+func TestStop(t *testing.T) {
+	r := newRig(t, 64)
+	p := newPeer(t, r)
+	a := r.start("x")
+	c := p.accept()
+	c.request()
+	r.do(func() { r.p.Stop(a); r.p.Stop(a) })
+	if _, err := c.in.ReadByte(); err != io.EOF {
+		t.Errorf("the upstream sees %v", err)
+	}
+	if r.counted("up_open") != 0 || len(r.ends) != 0 {
+		t.Error("a stopped attempt is kept, or ends again")
+	}
+}
+
+func TestIdleConnections(t *testing.T) {
+	r := newRig(t, 64)
+	p := newPeer(t, r)
+	idle := func() *peerConn {
+		a := r.start("x")
+		c := p.accept()
+		c.request()
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		r.end(a)
+		return c
+	}
+	addr := netip.MustParseAddrPort(p.l.Addr().String())
+	tests := []struct {
+		name string
+		do   func(*peerConn)
+	}{
+		{"the upstream closes it", func(c *peerConn) { c.Close() }},
+		{"the upstream ends its sending", func(c *peerConn) { c.CloseWrite() }},
+		{"the upstream speaks out of turn", func(c *peerConn) { io.WriteString(c, "HTTP/1.1 408 Late\r\n\r\n") }},
+		{"it has been idle for long", func(c *peerConn) {
+			r.do(func() { r.loop.Timers.Run(r.loop.Now() + 14000) })
+		}},
+		{"another process has its place", func(c *peerConn) { r.do(func() { r.p.Place(1, addr, 5) }) }},
+		{"it is gone", func(c *peerConn) { r.do(func() { r.p.Remove(1); r.p.Place(1, addr, 0) }) }},
+		{"room is needed", func(c *peerConn) { r.do(func() { r.p.shedIdle() }) }},
+	}
+	for _, tt := range tests {
+		c := idle()
+		tt.do(c)
+		r.waitFor("up_open", 0)
+	}
+	c := idle()
+	r.do(func() { r.loop.Timers.Run(r.loop.Now() + 13000) })
+	if r.counted("up_open") != 1 {
+		t.Error("a connection is dropped long before its time")
+	}
+	// Closed in the same turn as it would be used: the loop has not been told yet.
+	x := exchange.New(r, &http1.Request{Method: "GET", Target: "/", Txn: "1"})
+	var a *exchange.Attempt
+	r.do(func() {
+		c.Close()
+		for epoll.Quiet(r.p.ups[1].idle[0].fd) {
+			time.Sleep(time.Millisecond)
+		}
+		a = x.Begin(1, r.loop.Now(), r.loop.Now()+400)
+		r.p.Start(a)
+	})
+	fresh := p.accept()
+	fresh.request()
+	io.WriteString(fresh, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	if got := r.end(a); got.Outcome != balance.OK {
+		t.Errorf("outcome %v", got.Outcome)
+	}
+}
+
+// A connection out while its upstream was replaced leads to a process that is no more: it is not kept.
+func TestReplacedWhileOut(t *testing.T) {
+	r := newRig(t, 64)
+	p := newPeer(t, r)
+	a := r.start("x")
+	c := p.accept()
+	c.request()
+	r.do(func() { r.p.Place(1, netip.MustParseAddrPort(p.l.Addr().String()), 7) })
+	io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	if got := r.end(a); got.Outcome != balance.OK || r.counted("up_open") != 0 {
+		t.Errorf("outcome %v, %d kept", got.Outcome, r.counted("up_open"))
+	}
+}
+
+// On a day with few descriptors, attempts without one ended as connect failures and sound upstreams were
+// ejected for it. They were not sent, which says nothing of the upstream.
+func TestNoDescriptorIsNobodysFault(t *testing.T) {
+	r := newRig(t, 4) // one side may have three
+	p := newPeer(t, r)
+	var all []*exchange.Attempt
+	for range 3 {
+		all = append(all, r.start("x"))
+		p.accept()
+	}
+	if got := r.end(r.start("x")); got.Outcome != balance.Moot || r.counted("up_no_descriptor") != 1 {
+		t.Errorf("outcome %v", got.Outcome)
+	}
+	r.do(func() { r.p.Stop(all[0]) })
+	r.start("x")
+	p.accept()
+}
