--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,258 @@
+package discovery
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"salttrack/balance"
+	"salttrack/internal/counter"
+	"salttrack/internal/epoll"
+)
+
+const patience = 10 * time.Second
+
+func member(id, phase string) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":"127.0.0.1:80","locality":"b","flavor":"m2","cell":3,"phase":%q,"size":1.0,"up_since_ms":1000}`, id, phase)
+}
+
+func update(revision int, complete bool, members ...string) string {
+	return fmt.Sprintf(`{"revision":%d,"complete":%v,"members":[%s],"more":"ignored"}`, revision, complete, strings.Join(members, ","))
+}
+
+func TestParse(t *testing.T) {
+	u, err := Parse([]byte(update(41, true, member("s-1", "in_service"), member("s-2", "terminating"))))
+	if err != nil || u.Revision != 41 || !u.Complete || len(u.Members) != 2 || u.Members[1].state != balance.Draining ||
+		u.Members[0].addr != netip.MustParseAddrPort("127.0.0.1:80") || u.Members[0].Started != 1000 || u.Members[0].Cell != 3 {
+		t.Errorf("%+v %v", u, err)
+	}
+	if _, err := Parse([]byte(update(1, false, `{"id":"s-1","phase":"terminated"}`))); err != nil {
+		t.Errorf("one that is gone needs no address: %v", err)
+	}
+	for _, bad := range []string{"", "[]", "{", `{"revision":-1}`, `{"revision":"x"}`, update(1, true, member("", "in_service")),
+		update(1, true, member("s", "resting")), update(1, true, strings.Replace(member("s", "in_service"), "127.0.0.1:80", "host:80", 1)),
+		update(1, true, strings.Replace(member("s", "in_service"), "1000", "-5", 1)),
+		update(1, true, strings.Replace(member("s", "in_service"), `"cell":3`, `"cell":70000`, 1))} {
+		if _, err := Parse([]byte(bad)); err == nil {
+			t.Errorf("%s is taken", bad)
+		}
+	}
+}
+
+// places notes where upstreams are said to listen.
+type places map[balance.UpstreamID]netip.AddrPort
+
+func (p places) Place(id balance.UpstreamID, a netip.AddrPort, _ balance.Millis) { p[id] = a }
+func (p places) Remove(id balance.UpstreamID)                                    { delete(p, id) }
+
+func enter(t *testing.T, b *Book, p places, text string) []balance.Entry {
+	t.Helper()
+	u, err := Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b.Enter(u, p)
+}
+
+func TestBook(t *testing.T) {
+	b, p := NewBook([]string{"a", "b"}), places{}
+	first := enter(t, b, p, update(1, true, member("s-1", "in_service"), member("s-2", "in_service"), member("s-3", "in_service")))
+	if len(first) != 3 || first[0].Zone != 1 || first[0].Cell != 3 || first[0].State != balance.Ready || first[0].Started != 1000 || len(p) != 3 {
+		t.Errorf("%+v, %d places", first, len(p))
+	}
+	delta := enter(t, b, p, update(2, false, member("s-2", "terminating"), member("s-3", "terminated")))
+	if len(delta) != 2 || delta[0].ID != first[1].ID || delta[0].State != balance.Draining || delta[1].State != balance.Gone || len(p) != 2 {
+		t.Errorf("%+v, %d places", delta, len(p))
+	}
+	enter(t, b, p, update(3, true, strings.Replace(member("s-2", "in_service"), ":80", ":81", 1)))
+	if len(p) != 1 || p[first[1].ID].Port() != 81 {
+		t.Errorf("places %v after a whole list", p)
+	}
+	// Another copy, told in another order, numbers alike: the module wants all to order upstreams alike.
+	other := enter(t, NewBook(nil), places{}, update(1, true, member("s-3", "in_service"), member("s-1", "in_service")))
+	if other[0].ID != first[2].ID || other[1].ID != first[0].ID {
+		t.Errorf("copies number upstreams unlike: %v %v", other, first)
+	}
+	if z := enter(t, b, p, update(4, false, strings.Replace(member("s-9", "in_service"), `"b"`, `"new"`, 1))); z[0].Zone != 2 {
+		t.Errorf("a zone that the settings do not name has number %d", z[0].Zone)
+	}
+}
+
+func TestNumbersThatMeet(t *testing.T) {
+	b := NewBook(nil)
+	id := b.id("x")
+	delete(b.ids, "x") // as if another name had the same number
+	if other := b.id("x"); other == id {
+		t.Error("two names share a number")
+	}
+}
+
+// agent plays discovery.
+type agent struct {
+	t *testing.T
+	l *net.TCPListener
+}
+
+type session struct {
+	net.Conn
+	since string
+}
+
+func (a *agent) accept() *session {
+	a.t.Helper()
+	a.l.SetDeadline(time.Now().Add(patience))
+	c, err := a.l.Accept()
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	q, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil || q.URL.Path != "/api/targets" || q.URL.Query().Get("follow") != "1" {
+		a.t.Fatalf("asked %+v, %v", q, err)
+	}
+	return &session{c, q.URL.Query().Get("since")}
+}
+
+func (s *session) head() { io.WriteString(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") }
+
+func (s *session) tell(text string) { fmt.Fprintf(s, "%x\r\n%s\r\n", len(text), text) }
+
+func TestWatch(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	a := &agent{t, l.(*net.TCPListener)}
+	loop, err := epoll.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var count counter.Set
+	news, notes := make(chan *Update, 100), make(chan string, 100)
+	w := NewWatch(Options{Loop: loop, Address: netip.MustParseAddrPort(l.Addr().String()), Revision: 41, Counters: &count,
+		News: func(u *Update) { news <- u }, Note: func(s string) { notes <- s }})
+	done := make(chan error, 1)
+	loop.Post(w.Start)
+	go func() { done <- loop.Run() }()
+	defer func() {
+		loop.Post(func() { w.Stop(); loop.Stop() })
+		<-done
+	}()
+	expect := func(revision uint64) {
+		t.Helper()
+		select {
+		case u := <-news:
+			if u.Revision != revision {
+				t.Errorf("revision %d, want %d", u.Revision, revision)
+			}
+		case <-time.After(patience):
+			t.Fatalf("revision %d is not told", revision)
+		}
+	}
+	s := a.accept()
+	if s.since != "41" {
+		t.Errorf("asks for what came after %s", s.since)
+	}
+	s.head()
+	s.tell("\n")
+	whole := update(43, false, member("s-1", "in_service")) + "\n"
+	s.tell(whole[:20]) // a line in pieces, and two lines in one
+	s.tell(whole[20:] + "\n" + update(44, false) + "\n")
+	expect(43)
+	expect(44)
+	// Each way of breaking leads to a new watch that asks for what came after the last good line.
+	for _, broken := range []func(*session){
+		func(s *session) { s.Close() },
+		func(s *session) { s.head(); s.tell(`{"revision":50,"members":[{"id":"s","phase":"asleep"}]}` + "\n") },
+		func(s *session) { s.head(); s.tell("nonsense\n") },
+		func(s *session) { io.WriteString(s, "nonsense\r\n\r\n") },
+		func(s *session) { io.WriteString(s, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n") },
+		func(s *session) { io.WriteString(s, "HTTP/1.1 503 No\r\nContent-Length: 3\r\n\r\n{}\n") },
+		func(s *session) { s.head(); io.WriteString(s, "0\r\n\r\n") },
+		func(s *session) { io.WriteString(s, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n\n") },
+		func(s *session) { // silent: as if the time had passed
+			s.head()
+			loop.Post(func() { loop.Timers.Run(loop.Now() + quietMost + 1) })
+		},
+	} {
+		broken(s)
+		if s = a.accept(); s.since != "44" {
+			t.Errorf("asks for what came after %s, want 44", s.since)
+		}
+	}
+	s.head()
+	s.tell(update(45, true, member("s-1", "in_service")) + "\n")
+	expect(45)
+	if len(news) != 0 || len(notes) == 0 {
+		t.Errorf("%d more updates, %d notes", len(news), len(notes))
+	}
+	answered := make(chan bool)
+	loop.Post(func() { answered <- w.Answered() })
+	if !<-answered {
+		t.Error("says that nothing was told")
+	}
+}
+
+// The agent may not be there yet.
+func TestWatchWaitsForTheAgent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	loop, err := epoll.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var count counter.Set
+	told := make(chan uint64, 10)
+	refused := make(chan struct{}, 100)
+	w := NewWatch(Options{Loop: loop, Address: netip.MustParseAddrPort(addr), Counters: &count,
+		News: func(u *Update) { told <- u.Revision }, Note: func(string) { refused <- struct{}{} }})
+	done := make(chan error, 1)
+	loop.Post(w.Start)
+	go func() { done <- loop.Run() }()
+	defer func() {
+		loop.Post(func() { w.Stop(); loop.Stop() })
+		<-done
+	}()
+	<-refused
+	if l, err = net.Listen("tcp", addr); err != nil {
+		t.Skip("the port was taken meanwhile")
+	}
+	defer l.Close()
+	s := (&agent{t, l.(*net.TCPListener)}).accept()
+	s.head()
+	s.tell(update(1, true) + "\n")
+	select {
+	case <-told:
+	case <-time.After(patience):
+		t.Fatal("nothing is told")
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(update(41, true, member("s-1", "in_service"), member("s-2", "terminated"))))
+	f.Add([]byte(`{"revision":1,"members":[{}]}`))
+	f.Fuzz(func(t *testing.T, p []byte) {
+		u, err := Parse(p)
+		if err != nil {
+			return
+		}
+		b, at := NewBook([]string{"a"}), places{}
+		for _, e := range b.Enter(u, at) {
+			if _, listed := at[e.ID]; e.State == balance.Gone && listed && len(u.Members) == 1 {
+				t.Fatalf("%+v is gone and has a place", e)
+			}
+		}
+	})
+}
