--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Build, test, lint and run salttrack. Go is all that is needed.
+
+.PHONY: build test lint run fuzz
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+# Both builds, with the race detector: the debug one panics where an invariant breaks.
+test:
+	go test -race -count=1 ./...
+	go test -race -count=1 -tags debug ./...
+
+lint:
+	@unformatted=$$(gofmt -l balance cmd internal); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	go vet ./...
+	go vet -tags debug ./...
+	@lines=$$(grep -c '[^[:space:]]' balance/balance.go); \
+	wide=$$(expand -t4 balance/balance.go | awk 'length > 110' | wc -l); \
+	echo "balance.go: $$lines non-blank lines, $$wide lines over 110 columns"; \
+	[ "$$lines" -le 720 ] && [ "$$wide" -eq 0 ]
+
+# A balancer in the foreground, by a configuration as in README.md: make run CONFIG=my.json
+run: build
+	BALANCER_CONFIG=$(CONFIG) bin/salttrack
+
+# Malformed input beyond the seeds, a while for each decoder.
+fuzz:
+	for f in FuzzRequest FuzzResponse; do go test ./internal/http1 -run '^$$' -fuzz "^$$f$$" -fuzztime 30s || exit 1; done
+	go test ./internal/discovery -run '^$$' -fuzz FuzzParse -fuzztime 30s
+	go test ./internal/settings -run '^$$' -fuzz FuzzLines -fuzztime 30s
+	go test ./internal/simwire -run '^$$' -fuzz FuzzBatch -fuzztime 30s
