--- /dev/null
+++ b/cmd/salttrack/limits_test.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// descriptors counts what the program has open.
+func (p *program) descriptors() int {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return len(entries)
+}
+
+func fewSockets(c map[string]any) {
+	c["limits"] = map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 128}
+}
+
+// Far more callers than descriptors keep connections open and say nothing, or stop in the middle of a request:
+// who has something to ask is served, and the limit is kept.
+func TestManyIdleCallers(t *testing.T) {
+	w := newWorld(t, echo, echo)
+	p := start(t, w.config(fewSockets))
+	var idle []net.Conn
+	for i := range 400 {
+		c, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if idle = append(idle, c); i%3 == 0 {
+			io.WriteString(c, "GET /read HTTP/1.1\r\nX-Txn: half")
+		}
+		if n := p.descriptors(); n > 128 {
+			t.Fatalf("%d descriptors are open", n)
+		}
+	}
+	http.DefaultClient.CloseIdleConnections() // it must come on a new one
+	p.until("a caller among many idle ones is served", func() bool {
+		status, _ := p.ask("read", "1")
+		return status == 200
+	})
+	if n := p.descriptors(); n > 128 {
+		t.Errorf("%d descriptors are open", n)
+	}
+	for _, c := range idle {
+		c.Close()
+	}
+	p.end()
+	if c := p.counters(); c["down_shed"] < 200 || c["invariants_broken"] != 0 {
+		t.Errorf("counters %v", c)
+	}
+}
+
+// Upstreams that take everything and answer nothing: each request gets its one answer in time, and neither
+// descriptors nor memory run out.
+func TestSilentUpstreams(t *testing.T) {
+	hang := func(rw http.ResponseWriter, q *http.Request) { <-q.Context().Done() }
+	w := newWorld(t, hang, hang, hang)
+	p := start(t, w.config(fewSockets))
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	statuses := map[string]int{}
+	for i := range 150 {
+		all.Go(func() {
+			c, err := net.Dial("tcp", p.addr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(patience))
+			in := bufio.NewReader(c)
+			for n := range 3 {
+				fmt.Fprintf(c, "POST /pay HTTP/1.1\r\nX-Txn: %d-%d\r\nX-Lane: pay\r\nX-Remaining: 0.5\r\nContent-Length: 60000\r\n\r\n%s", i, n, strings.Repeat("x", 60000))
+				a, err := http.ReadResponse(in, nil)
+				if err != nil {
+					t.Errorf("request %d-%d: %v", i, n, err)
+					return
+				}
+				io.Copy(io.Discard, a.Body)
+				mu.Lock()
+				statuses[a.Status[:3]]++
+				mu.Unlock()
+				if a.Close {
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+	if statuses["502"] == 0 || len(statuses) > 2 || statuses["200"] > 0 {
+		t.Errorf("statuses %v", statuses)
+	}
+	if n := p.descriptors(); n > 128 {
+		t.Errorf("%d descriptors are open", n)
+	}
+	p.end()
+	c := p.counters()
+	if c["taken"] != c["refused"]+c["failed"]+c["left"] || c["open"] != 0 || c["up_open"] != 0 {
+		t.Errorf("counters %v", c)
+	}
+}
+
+// Slow senders hold their own connection and nobody else's.
+func TestSlowSenders(t *testing.T) {
+	w := newWorld(t, echo)
+	p := start(t, w.config(nil))
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	for range 50 {
+		all.Go(func() {
+			c, err := net.Dial("tcp", p.addr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			for _, b := range []byte("GET /read/" + strings.Repeat("a", 5000)) {
+				select {
+				case <-stop:
+					return
+				default:
+					c.Write([]byte{b})
+				}
+			}
+		})
+	}
+	for i := range 50 {
+		if status, _ := p.ask("read", fmt.Sprint(i)); status != 200 {
+			t.Errorf("status %d", status)
+		}
+	}
+	close(stop)
+	all.Wait()
+	p.end()
+}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -26,6 +26,7 @@
 	lastAccept  = 150.0   // ms more in which the listener stays open
 	halfMost    = 1000.0  // ms more for requests that have begun to arrive
 	silentLeast = 1000.0  // ms without a byte, before a connection is shed to make room
+	silentShort = 100.0   // ms, when there is no other way to take more
 	overMost    = 1000.0  // ms that a connection on a spare descriptor has for its request
 )
 
@@ -110,7 +111,7 @@
 // are taken even when the table is full: on spare descriptors, and their request is refused at once.
 func (s *Server) accept(most int) {
 	for range most {
-		if s.over >= s.Spare {
+		if s.over >= s.Spare && !s.shedSilent(silentShort) {
 			s.pause()
 			return
 		}
@@ -146,10 +147,14 @@
 // shed closes the connection that has been silent longest, if it has been for a while. One that was answered
 // a moment ago, or has just come, is likely to bring a request while it is being closed, and the caller that
 // meets this twice has lost it.
-func (s *Server) shed() bool {
+func (s *Server) shed() bool { return s.shedSilent(silentLeast) }
+
+// shedSilent is shed with another measure of silence. With the spare descriptors used too, what waits in the
+// kernel's queue is in more danger than a caller that has been silent for a moment.
+func (s *Server) shedSilent(least balance.Millis) bool {
 	for e := s.waiting.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*conn)
-		if s.Loop.Now()-c.heard < silentLeast {
+		if s.Loop.Now()-c.heard < least {
 			return false
 		}
 		if !c.over && epoll.Quiet(c.fd) {
