--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -11,6 +11,7 @@
 	"salttrack/internal/epoll"
 	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
+	"salttrack/internal/invariant"
 	"salttrack/internal/timer"
 )
 
@@ -226,6 +227,7 @@
 
 // answer writes an answer. End says that the connection ends with it.
 func (c *conn) answer(status int, retryAfter balance.Millis, end bool, body []byte) {
+	invariant.Check(c.unsent == nil && c.exchange == nil && !c.lingering, "a connection has one answer at a time")
 	// To end it with an answer is the one way of having fewer connections by which no request can get lost.
 	c.last = c.last || end || c.over || c.s.draining || c.s.side.Crowded()
 	c.s.count.status[status].Inc()
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -24,6 +24,8 @@
 	now    func() balance.Millis
 	timers *timer.Heap
 	b      *balance.Balancer
+	effect []effect                    // by class
+	ready  map[balance.UpstreamID]bool // as last told
 	ups    Upstreams
 	note   func(string) // takes what the module wants logged
 
@@ -37,6 +39,7 @@
 
 type counters struct {
 	taken, served, refused, failed, left *counter.Counter
+	late                                 *counter.Counter // answers after the caller gave up
 	sends, retries, cancels, lists       *counter.Counter
 	ends                                 [balance.Moot + 1]*counter.Counter
 }
@@ -45,6 +48,12 @@
 	balance.TimedOut: "timed_out", balance.ConnectFailed: "connect_failed", balance.Reset: "reset",
 	balance.Cancelled: "cancelled", balance.Moot: "moot"}
 
+// effect is what the rules say of a class.
+type effect struct {
+	once  bool // it must never run twice
+	tells bool // it may have run, and a refusal still tells the truth: trying again is harmless
+}
+
 // Options is what a driver works with.
 type Options struct {
 	Config    balance.Config
@@ -58,18 +67,23 @@
 
 // New returns a driver whose instance has just started. Start sets it going.
 func New(o Options) *Driver {
-	d := &Driver{now: o.Now, timers: o.Timers, ups: o.Upstreams, note: o.Note,
+	d := &Driver{now: o.Now, timers: o.Timers, ups: o.Upstreams, note: o.Note, ready: map[balance.UpstreamID]bool{},
 		open: map[balance.RequestID]*exchange.Exchange{}, timeouts: map[*exchange.Attempt]*timer.Timer{}}
 	c := &d.counters
 	c.taken = o.Counters.New("taken")
 	c.served, c.refused = o.Counters.New("served"), o.Counters.New("refused")
 	c.failed, c.left = o.Counters.New("failed"), o.Counters.New("left")
 	o.Counters.Reading("open", func() uint64 { return uint64(d.Open()) })
+	c.late = o.Counters.New("late")
 	c.sends, c.retries = o.Counters.New("attempts"), o.Counters.New("attempts_again")
 	for i, name := range outcomes {
 		c.ends[i] = o.Counters.New("ended_" + name)
 	}
 	c.cancels, c.lists = o.Counters.New("cancels"), o.Counters.New("lists")
+	for _, class := range o.Config.Classes {
+		d.effect = append(d.effect, effect{once: class.Effect == balance.Unsafe,
+			tells: class.Effect == balance.Safe || class.Effect == balance.Keyed && class.Group == balance.GroupAll})
+	}
 	d.b = balance.New(o.Config, o.Seed, o.Now())
 	return d
 }
@@ -106,7 +120,7 @@
 // Ended tells how an attempt ended. What is told of one that has ended already is passed over.
 func (d *Driver) Ended(a *exchange.Attempt, r exchange.Result) {
 	x := a.Exchange
-	if !x.End(a) {
+	if !x.End(a, r.Outcome.NeverRan()) {
 		return
 	}
 	d.timers.Stop(d.timeouts[a])
@@ -127,6 +141,14 @@
 	kind := balance.EventListDelta
 	if full {
 		kind = balance.EventListFull
+		clear(d.ready)
+	}
+	for _, e := range entries {
+		if e.State == balance.Ready {
+			d.ready[e.ID] = true
+		} else {
+			delete(d.ready, e.ID)
+		}
 	}
 	d.handle(&balance.Event{Kind: kind, List: entries})
 }
@@ -177,6 +199,8 @@
 	case balance.ActSend:
 		d.send(x, a)
 	case balance.ActRefuse:
+		invariant.Check(x.Verdict() != exchange.Open || d.effect[x.Class].tells || x.NeverRan(),
+			"a refused request is harmless to try again")
 		d.finish(x, exchange.Answer{Verdict: exchange.Refused, RetryAfter: a.After})
 	case balance.ActFail:
 		d.finish(x, exchange.Answer{Verdict: exchange.Failed})
@@ -201,6 +225,8 @@
 	if a.After != 0 {
 		until = min(until, now+max(0, a.After))
 	}
+	invariant.Check(d.ready[a.Upstream], "nothing new goes to an upstream that drains or is gone")
+	invariant.Check(!d.effect[x.Class].once || x.NeverRan(), "an unsafe request goes out again only if it never ran")
 	try := x.Begin(a.Upstream, now, until)
 	d.counters.sends.Inc()
 	if try.Number > 0 {
@@ -225,6 +251,9 @@
 	if !x.Finish(a) {
 		return false
 	}
+	if a.Verdict != exchange.Left && d.now() > x.Expires {
+		d.counters.late.Inc()
+	}
 	switch c := &d.counters; a.Verdict {
 	case exchange.Served:
 		c.served.Inc()
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -241,3 +241,55 @@
 		}
 	}
 }
+
+// The rules hold by the module's decisions. Should it ever break one, the driver notices.
+func TestBreachesAreNoticed(t *testing.T) {
+	send := func(up balance.UpstreamID) func(*rig, *exchange.Exchange) {
+		return func(r *rig, x *exchange.Exchange) {
+			r.d.act(x, &balance.Action{Kind: balance.ActSend, Request: x.ID, Upstream: up})
+		}
+	}
+	refuse := func(r *rig, x *exchange.Exchange) {
+		r.d.act(x, &balance.Action{Kind: balance.ActRefuse, Request: x.ID})
+	}
+	for _, tt := range []struct {
+		name   string
+		class  uint8
+		do     func(*rig, *exchange.Exchange)
+		broken uint64
+	}{
+		{"safe, sent again", 0, send(2), 0},
+		{"safe, refused while out", 0, refuse, 0},
+		{"unsafe, sent again", 1, send(2), 1},
+		{"unsafe, refused while out", 1, refuse, 1},
+		{"keyed in a zone, refused while out", 2, refuse, 1},
+		{"an upstream that drains", 0, send(4), 1},
+		{"one that no list names", 0, send(9), 1},
+	} {
+		r := newRig(t, config())
+		r.d.List([]balance.Entry{{ID: 4, State: balance.Draining}}, false)
+		x := r.take(tt.class, 1000)
+		before := invariant.Broken()
+		func() {
+			defer func() {
+				if p := recover(); p != nil && !invariant.Debug {
+					panic(p)
+				}
+			}()
+			tt.do(r, x)
+		}()
+		if n := invariant.Broken() - before; n != tt.broken {
+			t.Errorf("%s: %d breaches noticed, want %d", tt.name, n, tt.broken)
+		}
+	}
+}
+
+func TestLateAnswersAreCounted(t *testing.T) {
+	r := newRig(t, config())
+	r.take(0, 100)
+	r.at += 200 // the process was kept from its core
+	r.timers.Run(r.at)
+	if r.value("late") != 1 || r.value("failed")+r.value("refused") != 1 {
+		t.Errorf("%d late", r.value("late"))
+	}
+}
--- a/internal/epoll/table.go
+++ b/internal/epoll/table.go
@@ -1,5 +1,7 @@
 package epoll
 
+import "salttrack/internal/invariant"
+
 // Table shares the descriptors that connections may take between the sides that open them. Neither can have
 // all: a side without any could do nothing for the other.
 type Table struct {
@@ -54,7 +56,13 @@
 }
 
 // Give gives the room of a connection back.
-func (s *Side) Give() { s.open-- }
+func (s *Side) Give() {
+	s.open--
+	invariant.Check(s.open >= 0, "no more descriptors are given back than were taken")
+}
+
+// Open is the number of the side's connections.
+func (s *Side) Open() int { return s.open }
 
 // Crowded reports whether the side should part with connections as it can.
 func (s *Side) Crowded() bool {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -55,6 +55,7 @@
 	Until    balance.Millis // when it is no longer waited for
 	Whole    bool           // the request's last byte was written: it may have run
 	Ended    bool
+	NeverRan bool // its outcome proves that it did not run
 }
 
 // Result is how an attempt ended.
@@ -76,6 +77,16 @@
 // Idle reports whether the exchange has ended and none of its attempts is out.
 func (x *Exchange) Idle() bool { return x.verdict != Open && x.out == 0 }
 
+// NeverRan reports whether every attempt is known not to have run.
+func (x *Exchange) NeverRan() bool {
+	for _, a := range x.Attempts {
+		if !a.NeverRan {
+			return false
+		}
+	}
+	return true
+}
+
 // Finish gives the final answer. Only the first counts; it reports whether this was it.
 func (x *Exchange) Finish(a Answer) bool {
 	invariant.Check(a.Verdict != Open, "an answer has a verdict")
@@ -101,17 +112,18 @@
 
 // Moot enters an attempt that is not made, since the exchange has ended.
 func (x *Exchange) Moot(up balance.UpstreamID) *Attempt {
-	a := &Attempt{Exchange: x, Number: len(x.Attempts), Upstream: up, Ended: true}
+	a := &Attempt{Exchange: x, Number: len(x.Attempts), Upstream: up, Ended: true, NeverRan: true}
 	x.Attempts = append(x.Attempts, a)
 	return a
 }
 
-// End notes that an attempt is over. It reports whether it was not before.
-func (x *Exchange) End(a *Attempt) bool {
+// End notes that an attempt is over, and whether its outcome proves that it never ran. It reports whether the
+// attempt was not over before.
+func (x *Exchange) End(a *Attempt, neverRan bool) bool {
 	if a.Ended {
 		return false
 	}
-	a.Ended = true
+	a.Ended, a.NeverRan = true, neverRan
 	x.out--
 	invariant.Check(x.out >= 0, "no more attempts end than began")
 	return true
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -20,7 +20,7 @@
 	if len(c.answers) != 1 {
 		t.Errorf("%d answers", len(c.answers))
 	}
-	if x.Idle() || !x.End(a) || x.End(a) || !x.Idle() {
+	if x.Idle() || !x.End(a, true) || x.End(a, false) || !x.NeverRan() || !x.Idle() {
 		t.Error("an attempt ends once, and the exchange is idle after it")
 	}
 	if m := x.Moot(8); m.Number != 1 || !m.Ended || !x.Idle() {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"salttrack/internal/epoll"
 	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
+	"salttrack/internal/invariant"
 	"salttrack/internal/timer"
 )
 
@@ -216,6 +217,7 @@
 
 // begin gives the connection an attempt.
 func (c *conn) begin(a *exchange.Attempt) {
+	invariant.Check(c.attempt == nil && len(c.unsent) == 0 && !c.dec.Begun(), "a connection carries one request at a time")
 	c.attempt = a
 	c.pool.out[a] = c
 	req := a.Exchange.Message.(*http1.Request)
@@ -393,4 +395,5 @@
 	c.pool.loop.Timers.Stop(c.timer)
 	c.pool.loop.Close(c.fd)
 	c.pool.side.Give()
+	invariant.Check(c.pool.side.Open() >= len(c.pool.out)+c.pool.idle.Len(), "every connection is in the table")
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -99,7 +99,7 @@
 		if e.a != a {
 			r.t.Fatal("another attempt ended")
 		}
-		a.Exchange.End(a)
+		a.Exchange.End(a, e.r.Outcome.NeverRan())
 		return e.r
 	case <-time.After(patience):
 		r.t.Fatal("the attempt does not end")
