--- a/cmd/salttrack/limits_test.go
+++ b/cmd/salttrack/limits_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -145,3 +146,95 @@
 	all.Wait()
 	p.end()
 }
+
+// caller is a client as the protocol has it: one request at a time on a connection, kept until told to end;
+// what crosses the close of a connection that was used before is sent once more on a new one.
+type caller struct {
+	addr string
+	conn net.Conn
+	in   *bufio.Reader
+	used bool
+}
+
+// ask sends a request and reports whether the balancer took it and whether it was answered whole.
+func (c *caller) ask(txn string, open func() bool) (taken, answered bool, err error) {
+	for range 2 {
+		if c.conn == nil {
+			if !open() {
+				return false, false, nil
+			}
+			if c.conn, err = net.Dial("tcp", c.addr); err != nil {
+				return false, false, nil
+			}
+			c.conn.SetDeadline(time.Now().Add(patience))
+			c.in, c.used = bufio.NewReader(c.conn), false
+		}
+		_, err = fmt.Fprintf(c.conn, "GET /read HTTP/1.1\r\nX-Txn: %s\r\nX-Lane: read\r\nX-Remaining: 5\r\n\r\n", txn)
+		var a *http.Response
+		if err == nil {
+			if a, err = http.ReadResponse(c.in, nil); err == nil {
+				if _, err = io.Copy(io.Discard, a.Body); err == nil {
+					if c.used = true; a.Close {
+						c.conn.Close()
+						c.conn = nil
+					}
+					return true, true, nil
+				}
+			}
+		}
+		again := c.used && a == nil
+		c.conn.Close()
+		if c.conn = nil; !again {
+			return true, false, err
+		}
+	}
+	return true, false, err
+}
+
+// Callers in the middle of their work while the balancer is told to end: nothing that was taken is lost. New
+// connections come for a moment more, shorter here than the front's, so that a slow machine changes nothing.
+func TestTerminatedUnderLoad(t *testing.T) {
+	w := newWorld(t, echo, echo)
+	p := start(t, w.config(nil))
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	var told time.Time // when SIGTERM was sent
+	open := func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return told.IsZero() || time.Since(told) < 100*time.Millisecond
+	}
+	answers := 0
+	for i := range 40 {
+		all.Go(func() {
+			c := &caller{addr: p.addr}
+			for n := 0; ; n++ {
+				taken, answered, err := c.ask(fmt.Sprintf("%d-%d", i, n), open)
+				if taken && !answered {
+					t.Errorf("%d-%d was lost: %v", i, n, err)
+				}
+				if !answered {
+					return
+				}
+				mu.Lock()
+				answers++
+				mu.Unlock()
+				time.Sleep(time.Duration(i) * time.Millisecond) // some always busy, some often idle
+			}
+		})
+	}
+	p.until("callers are at work", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return answers > 200
+	})
+	mu.Lock()
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	told = time.Now()
+	mu.Unlock()
+	all.Wait()
+	p.end()
+	if c := p.counters(); c["open"] != 0 || c["invariants_broken"] != 0 || c["taken"] != c["served"]+c["refused"]+c["failed"]+c["left"] {
+		t.Errorf("counters %v", c)
+	}
+}
