--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -3,39 +3,14 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"fmt"
 	"strings"
 	"testing"
 
 	"salttrack/balance"
+	"salttrack/internal/settings/settingstest"
 	"salttrack/internal/simwire"
 )
 
-// conf gives the settings of a made-up deployment with all that this program needs.
-func conf(change ...string) string {
-	lines := map[string]string{
-		"me": "1", "replicas_of_me": "2", "zone": "0", "stage": "0", "discovery": "push", "granularity_ms": "5.0",
-		"invariants.start_capacity": "0.2", "invariants.cold_ms": "9000.0", "invariants.fall_multiple": "3.0",
-		"invariants.fall_ms": "1500.0", "limits.max_attempts": "4", "limits.cancel": "true",
-		"limits.second_copies": "true", "limits.retry_after": "true", "limits.max_retry_after_ms": "2000.0",
-		"report.columns": "util,latency_ms", "classes.count": "2", "some.other.key": "x",
-		"classes.0.on_time_ms": "800.0", "classes.0.deadline_ms": "2000.0", "classes.0.worth": "12.0",
-		"classes.0.idempotency": "retryable", "classes.1.on_time_ms": "1200.0", "classes.1.deadline_ms": "3000.0",
-		"classes.1.worth": "1.0", "classes.1.idempotency": "dedup", "classes.1.group": "cell", "classes.1.window_ms": "7000.0",
-	}
-	for _, c := range change {
-		path, value, _ := strings.Cut(c, "=")
-		if lines[path] = value; value == "" {
-			delete(lines, path)
-		}
-	}
-	var b strings.Builder
-	for path, value := range lines {
-		fmt.Fprintf(&b, "%s=%s\n", path, value)
-	}
-	return b.String()
-}
-
 // stream builds batches as the wire has them.
 type stream struct {
 	bytes.Buffer
@@ -101,7 +76,7 @@
 func TestRequestIsSentAndAnswered(t *testing.T) {
 	s := &stream{}
 	s.batch(1000) // batches may be empty
-	s.powerOn(3, conf())
+	s.powerOn(3, settingstest.Lines())
 	s.inventory(0, 11, 12)
 	s.record(20, uint16(3), uint32(0), uint8(2), uint64(1))
 	s.batch(1005)
@@ -117,17 +92,17 @@
 
 func TestListsInOrderOfEvents(t *testing.T) {
 	s := &stream{}
-	s.powerOn(1, conf())
+	s.powerOn(1, settingstest.Lines())
 	s.inventory(4, 11)
 	s.record(20, uint16(1), uint32(4), uint8(1), uint64(1))
-	s.powerOn(2, conf())
+	s.powerOn(2, settingstest.Lines())
 	s.inventory(4) // the same number again, now empty
 	s.record(20, uint16(2), uint32(4), uint8(1), uint64(1))
 	for _, instance := range []uint16{1, 2} {
 		s.record(30, instance, uint32(500+uint32(instance)), uint8(0), uint16(0), uint64(0), float64(2000), float64(0), uint8(0))
 	}
 	s.record(100, uint16(1)) // killed and on again in one batch
-	s.powerOn(1, conf())
+	s.powerOn(1, settingstest.Lines())
 	s.record(20, uint16(1), uint32(4), uint8(2), uint64(1))
 	s.batch(1000)
 	if got := string(codes(t, s)[0]); strings.Count(got, "\x46") != 1 || strings.Count(got, "\x28") != 1 {
@@ -148,12 +123,12 @@
 		want string
 	}{
 		{"unknown instance", one(func(s *stream) { s.record(60, uint16(9), uint32(1)) }), "batch 1, record 0: unknown instance 9"},
-		{"missing setting", one(func(s *stream) { s.powerOn(1, conf("zone=")) }), "batch 1, record 0: setting zone is missing"},
-		{"malformed setting", one(func(s *stream) { s.powerOn(1, conf("classes.1.worth=dear")) }), `classes.1.worth="dear"`},
-		{"unknown word", one(func(s *stream) { s.powerOn(1, conf("discovery=guess")) }), `discovery="guess"`},
-		{"many classes", one(func(s *stream) { s.powerOn(1, conf("classes.count=1048576")) }), "classes.2."},
+		{"missing setting", one(func(s *stream) { s.powerOn(1, settingstest.Lines("zone=")) }), "batch 1, record 0: setting zone is missing"},
+		{"malformed setting", one(func(s *stream) { s.powerOn(1, settingstest.Lines("classes.1.worth=dear")) }), `classes.1.worth="dear"`},
+		{"unknown word", one(func(s *stream) { s.powerOn(1, settingstest.Lines("discovery=guess")) }), `discovery="guess"`},
+		{"many classes", one(func(s *stream) { s.powerOn(1, settingstest.Lines("classes.count=1048576")) }), "classes.2."},
 		{"unknown outcome", one(func(s *stream) {
-			s.powerOn(1, conf())
+			s.powerOn(1, settingstest.Lines())
 			s.record(50, uint16(1), uint32(1), uint16(0), uint32(1), uint16(999))
 		}), "unknown outcome 999"},
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -12,12 +12,9 @@
 	"time"
 
 	"salttrack/balance"
-	"salttrack/internal/counter"
-	"salttrack/internal/epoll"
+	"salttrack/internal/epoll/epolltest"
 )
 
-const patience = 10 * time.Second
-
 func member(id, phase string) string {
 	return fmt.Sprintf(`{"id":%q,"host_port":"127.0.0.1:80","locality":"b","flavor":"m2","cell":3,"phase":%q,"size":1.0,"up_since_ms":1000}`, id, phase)
 }
@@ -95,8 +92,8 @@
 
 // agent plays discovery.
 type agent struct {
+	*epolltest.Listener
 	t *testing.T
-	l *net.TCPListener
 }
 
 type session struct {
@@ -106,13 +103,7 @@
 
 func (a *agent) accept() *session {
 	a.t.Helper()
-	a.l.SetDeadline(time.Now().Add(patience))
-	c, err := a.l.Accept()
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	a.t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(patience))
+	c := a.Next()
 	q, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil || q.URL.Path != "/api/targets" || q.URL.Query().Get("follow") != "1" {
 		a.t.Fatalf("asked %+v, %v", q, err)
@@ -120,32 +111,24 @@
 	return &session{c, q.URL.Query().Get("since")}
 }
 
+// follow starts a watch of the agent.
+func follow(t *testing.T, at netip.AddrPort) (r *epolltest.Rig, w *Watch, news chan *Update, notes chan string) {
+	r = epolltest.Start(t)
+	news, notes = make(chan *Update, 100), make(chan string, 100)
+	w = NewWatch(Options{Loop: r.Loop, Address: at, Revision: 41, Counters: &r.Count,
+		News: func(u *Update) { news <- u }, Note: func(s string) { notes <- s }})
+	r.Do(w.Start)
+	t.Cleanup(func() { r.Do(w.Stop) })
+	return r, w, news, notes
+}
+
 func (s *session) head() { io.WriteString(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") }
 
 func (s *session) tell(text string) { fmt.Fprintf(s, "%x\r\n%s\r\n", len(text), text) }
 
 func TestWatch(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	a := &agent{t, l.(*net.TCPListener)}
-	loop, err := epoll.New()
-	if err != nil {
-		t.Fatal(err)
-	}
-	var count counter.Set
-	news, notes := make(chan *Update, 100), make(chan string, 100)
-	w := NewWatch(Options{Loop: loop, Address: netip.MustParseAddrPort(l.Addr().String()), Revision: 41, Counters: &count,
-		News: func(u *Update) { news <- u }, Note: func(s string) { notes <- s }})
-	done := make(chan error, 1)
-	loop.Post(w.Start)
-	go func() { done <- loop.Run() }()
-	defer func() {
-		loop.Post(func() { w.Stop(); loop.Stop() })
-		<-done
-	}()
+	a := &agent{epolltest.Listen(t), t}
+	r, w, news, notes := follow(t, a.Address())
 	expect := func(revision uint64) {
 		t.Helper()
 		select {
@@ -153,7 +136,7 @@
 			if u.Revision != revision {
 				t.Errorf("revision %d, want %d", u.Revision, revision)
 			}
-		case <-time.After(patience):
+		case <-time.After(epolltest.Patience):
 			t.Fatalf("revision %d is not told", revision)
 		}
 	}
@@ -180,7 +163,7 @@
 		func(s *session) { io.WriteString(s, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n\n") },
 		func(s *session) { // silent: as if the time had passed
 			s.head()
-			loop.Post(func() { loop.Timers.Run(loop.Now() + quietMost + 1) })
+			r.Pass(quietMost + 1)
 		},
 	} {
 		broken(s)
@@ -194,48 +177,32 @@
 	if len(news) != 0 || len(notes) == 0 {
 		t.Errorf("%d more updates, %d notes", len(news), len(notes))
 	}
-	answered := make(chan bool)
-	loop.Post(func() { answered <- w.Answered() })
-	if !<-answered {
-		t.Error("says that nothing was told")
-	}
+	r.Do(func() {
+		if !w.Answered() {
+			t.Error("says that nothing was told")
+		}
+	})
 }
 
 // The agent may not be there yet.
 func TestWatchWaitsForTheAgent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a := epolltest.Listen(t)
+	at := a.Address()
+	a.Close()
+	_, _, news, notes := follow(t, at)
+	<-notes
+	l, err := net.Listen("tcp", at.String())
 	if err != nil {
-		t.Fatal(err)
-	}
-	addr := l.Addr().String()
-	l.Close()
-	loop, err := epoll.New()
-	if err != nil {
-		t.Fatal(err)
-	}
-	var count counter.Set
-	told := make(chan uint64, 10)
-	refused := make(chan struct{}, 100)
-	w := NewWatch(Options{Loop: loop, Address: netip.MustParseAddrPort(addr), Counters: &count,
-		News: func(u *Update) { told <- u.Revision }, Note: func(string) { refused <- struct{}{} }})
-	done := make(chan error, 1)
-	loop.Post(w.Start)
-	go func() { done <- loop.Run() }()
-	defer func() {
-		loop.Post(func() { w.Stop(); loop.Stop() })
-		<-done
-	}()
-	<-refused
-	if l, err = net.Listen("tcp", addr); err != nil {
 		t.Skip("the port was taken meanwhile")
 	}
 	defer l.Close()
-	s := (&agent{t, l.(*net.TCPListener)}).accept()
+	a.TCPListener = l.(*net.TCPListener)
+	s := (&agent{a, t}).accept()
 	s.head()
 	s.tell(update(1, true) + "\n")
 	select {
-	case <-told:
-	case <-time.After(patience):
+	case <-news:
+	case <-time.After(epolltest.Patience):
 		t.Fatal("nothing is told")
 	}
 }
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -12,21 +12,15 @@
 	"time"
 
 	"salttrack/balance"
-	"salttrack/internal/counter"
 	"salttrack/internal/epoll"
+	"salttrack/internal/epoll/epolltest"
 	"salttrack/internal/exchange"
 )
 
-// patience bounds a wait for what has to come. No test depends on how long anything takes.
-const patience = 10 * time.Second
-
 // rig is a server on a loop of its own whose core the test plays.
 type rig struct {
-	t     *testing.T
+	*epolltest.Rig
 	s     *Server
-	loop  *epoll.Loop
-	table *epoll.Table
-	count counter.Set
 	addr  string
 	taken chan *exchange.Exchange
 	gone  chan *exchange.Exchange
@@ -37,72 +31,44 @@
 
 func newRig(t *testing.T, limit, spare int) *rig {
 	t.Helper()
-	loop, err := epoll.New()
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &rig{t: t, loop: loop, table: epoll.NewTable(limit), taken: make(chan *exchange.Exchange, 1000),
-		gone: make(chan *exchange.Exchange, 1000)}
-	r.s = NewServer(Options{Loop: loop, Table: r.table, Spare: spare, Counters: &r.count, Classes: []string{"read", "pay", "keep"},
-		Effects: []balance.Effect{balance.Safe, balance.Unsafe, balance.Keyed}, Ahead: 10, Ready: func() bool { return true }})
+	r := &rig{Rig: epolltest.Start(t), taken: make(chan *exchange.Exchange, 1000), gone: make(chan *exchange.Exchange, 1000)}
+	r.s = NewServer(Options{Loop: r.Loop, Table: epoll.NewTable(limit), Spare: spare, Counters: &r.Count,
+		Classes: []string{"read", "pay", "keep"}, Effects: []balance.Effect{balance.Safe, balance.Unsafe, balance.Keyed},
+		Ahead: 10, Ready: func() bool { return true }})
 	r.s.Serve(r)
-	if err := r.s.Listen(netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
-		t.Fatal(err)
-	}
-	r.addr = epoll.Local(r.s.fd).String()
-	done := make(chan error, 1)
-	go func() { done <- loop.Run() }()
-	t.Cleanup(func() {
-		loop.Post(loop.Stop)
-		if err := <-done; err != nil {
+	r.Do(func() {
+		if err := r.s.Listen(netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
 			t.Error(err)
 		}
 	})
+	r.addr = epoll.Local(r.s.fd).String()
 	return r
 }
 
-// do runs f on the loop and waits for it.
-func (r *rig) do(f func()) {
-	done := make(chan struct{})
-	r.loop.Post(func() { f(); close(done) })
-	<-done
-}
-
-func (r *rig) counted(name string) (v uint64) {
-	r.t.Helper()
-	r.do(func() {
-		var ok bool
-		if v, ok = r.count.Value(name); !ok {
-			r.t.Errorf("no counter %s", name)
-		}
-	})
-	return v
-}
-
 func (r *rig) dial() *client {
-	r.t.Helper()
+	r.T.Helper()
 	c, err := net.Dial("tcp", r.addr)
 	if err != nil {
-		r.t.Fatal(err)
+		r.T.Fatal(err)
 	}
-	r.t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(patience))
-	return &client{c.(*net.TCPConn), bufio.NewReader(c), r.t}
+	r.T.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(epolltest.Patience))
+	return &client{c.(*net.TCPConn), bufio.NewReader(c), r.T}
 }
 
 func (r *rig) next() *exchange.Exchange {
-	r.t.Helper()
+	r.T.Helper()
 	select {
 	case x := <-r.taken:
 		return x
-	case <-time.After(patience):
-		r.t.Fatal("no request was taken")
+	case <-time.After(epolltest.Patience):
+		r.T.Fatal("no request was taken")
 		return nil
 	}
 }
 
 func (r *rig) serve(x *exchange.Exchange, body string) {
-	r.do(func() { x.Finish(exchange.Answer{Verdict: exchange.Served, Body: []byte(body)}) })
+	r.Do(func() { x.Finish(exchange.Answer{Verdict: exchange.Served, Body: []byte(body)}) })
 }
 
 type client struct {
@@ -161,8 +127,8 @@
 		if x.Class != 2 || !x.Resent {
 			t.Errorf("class %d, resent %v", x.Class, x.Resent)
 		}
-		r.do(func() {
-			if left := x.Expires - r.loop.Now(); left > 470 {
+		r.Do(func() {
+			if left := x.Expires - r.Loop.Now(); left > 470 {
 				t.Errorf("%.0f ms are given to a request that came with 480, of which 10 are kept", left)
 			}
 		})
@@ -188,7 +154,7 @@
 	} {
 		c.send(get("1"))
 		x := r.next()
-		r.do(func() {
+		r.Do(func() {
 			if !x.Finish(tt.a) || x.Finish(exchange.Answer{Verdict: exchange.Failed}) {
 				t.Error("an exchange takes one answer")
 			}
@@ -262,7 +228,7 @@
 		if tt.ends {
 			c.atEnd()
 		}
-		if n := r.counted("bad_requests"); n != uint64(i+1) {
+		if n := r.Counted("bad_requests"); n != uint64(i+1) {
 			t.Errorf("%s: %d bad requests are counted, want %d", tt.name, n, i+1)
 		}
 	}
@@ -287,29 +253,19 @@
 			if x != y {
 				t.Error("another request is said to be gone")
 			}
-		case <-time.After(patience):
+		case <-time.After(epolltest.Patience):
 			t.Fatal("nobody noticed that the caller has gone")
 		}
 	}
 	c := r.dial() // half a request, and gone: nothing was taken
 	c.send(get("1")[:30])
 	c.Close()
-	r.waitFor("down_open", 0)
+	r.WaitFor("down_open", 0)
 	if len(r.taken) > 0 {
 		t.Error("half a request was taken")
 	}
 }
 
-// waitFor waits until a counter has a value.
-func (r *rig) waitFor(name string, want uint64) {
-	r.t.Helper()
-	for end := time.Now().Add(patience); r.counted(name) != want; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			r.t.Fatalf("%s is %d, want %d", name, r.counted(name), want)
-		}
-	}
-}
-
 func TestContinue(t *testing.T) {
 	r := newRig(t, 64, 4)
 	c := r.dial()
@@ -370,7 +326,7 @@
 	for range 6 {
 		all = append(all, r.dial())
 	}
-	r.waitFor("down_accepted", 6)
+	r.WaitFor("down_accepted", 6)
 	seventh := r.dial()
 	seventh.send(get("7"))
 	if a, _ := seventh.answer(); a.StatusCode != 503 || !a.Close {
@@ -386,11 +342,11 @@
 		c.Close()
 		seventh.Close()
 	}
-	r.waitFor("down_open", 5)
-	if r.counted("down_shed") != 0 || r.counted("down_overflow_refused") != 1 {
-		t.Errorf("%d shed, %d refused", r.counted("down_shed"), r.counted("down_overflow_refused"))
+	r.WaitFor("down_open", 5)
+	if r.Counted("down_shed") != 0 || r.Counted("down_overflow_refused") != 1 {
+		t.Errorf("%d shed, %d refused", r.Counted("down_shed"), r.Counted("down_overflow_refused"))
 	}
-	r.do(func() { // as if a second had passed
+	r.Do(func() { // as if a second had passed
 		for e := r.s.waiting.Front(); e != nil; e = e.Next() {
 			e.Value.(*conn).heard -= silentLeast
 		}
@@ -399,7 +355,7 @@
 		r.dial().send(get("8"))
 		r.next()
 	}
-	if n := r.counted("down_shed"); n != 1 {
+	if n := r.Counted("down_shed"); n != 1 {
 		t.Errorf("%d silent connections were closed to make room, want one", n)
 	}
 }
@@ -414,7 +370,7 @@
 	busy.send(get("1"))
 	x := r.next()
 	done := make(chan struct{})
-	r.do(func() { r.s.Drain(func() { close(done) }) })
+	r.Do(func() { r.s.Drain(func() { close(done) }) })
 	late := r.dial() // still comes, as through a front that has not noticed
 	late.send("GET /-/ready HTTP/1.1\r\n\r\n")
 	if a, _ := late.answer(); a.StatusCode != 503 || !a.Close {
@@ -425,7 +381,7 @@
 	if a, got := kept.answer(); got != "two" || !a.Close {
 		t.Errorf("a request on a kept connection: %q, ends %v", got, a.Close)
 	}
-	r.do(func() {
+	r.Do(func() {
 		select {
 		case <-done:
 			t.Error("ended while an answer is owed")
@@ -441,7 +397,7 @@
 	late.Close()
 	select {
 	case <-done:
-	case <-time.After(patience):
+	case <-time.After(epolltest.Patience):
 		t.Fatal("does not end")
 	}
 	if c, err := net.Dial("tcp", r.addr); err == nil {
@@ -455,8 +411,8 @@
 	r := newRig(t, 64, 4)
 	release := make(chan struct{})
 	blocked := make(chan struct{})
-	r.do(func() { r.s.Drain(func() {}) })
-	r.loop.Post(func() { close(blocked); <-release })
+	r.Do(func() { r.s.Drain(func() {}) })
+	r.Loop.Post(func() { close(blocked); <-release })
 	<-blocked
 	c := r.dial()
 	c.send(get("1"))
@@ -472,8 +428,8 @@
 	r := newRig(t, 64, 4)
 	c := r.dial()
 	c.send(get("1")[:40])
-	r.waitFor("down_accepted", 1)
-	r.do(func() { r.loop.Timers.Run(r.loop.Now() + requestMost + 1) }) // as if the time had passed
+	r.WaitFor("down_accepted", 1)
+	r.Pass(requestMost + 1)
 	if a, _ := c.answer(); a.StatusCode != 408 {
 		t.Errorf("status %d", a.StatusCode)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,38 +1,13 @@
 package settings
 
 import (
-	"fmt"
 	"strings"
 	"testing"
 
 	"salttrack/balance"
+	"salttrack/internal/settings/settingstest"
 )
 
-// lines of a made-up deployment with all that this program needs.
-func lines(change ...string) string {
-	lines := map[string]string{
-		"me": "1", "replicas_of_me": "2", "zone": "0", "stage": "0", "discovery": "push", "granularity_ms": "5.0",
-		"invariants.start_capacity": "0.2", "invariants.cold_ms": "9000.0", "invariants.fall_multiple": "3.0",
-		"invariants.fall_ms": "1500.0", "limits.max_attempts": "4", "limits.cancel": "true",
-		"limits.second_copies": "true", "limits.retry_after": "true", "limits.max_retry_after_ms": "2000.0",
-		"report.columns": "util,latency_ms", "classes.count": "2", "some.other.key": "x",
-		"classes.0.on_time_ms": "800.0", "classes.0.deadline_ms": "2000.0", "classes.0.worth": "12.0",
-		"classes.0.idempotency": "retryable", "classes.1.on_time_ms": "1200.0", "classes.1.deadline_ms": "3000.0",
-		"classes.1.worth": "1.0", "classes.1.idempotency": "dedup", "classes.1.group": "cell", "classes.1.window_ms": "7000.0",
-	}
-	for _, c := range change {
-		path, value, _ := strings.Cut(c, "=")
-		if lines[path] = value; value == "" {
-			delete(lines, path)
-		}
-	}
-	var b strings.Builder
-	for path, value := range lines {
-		fmt.Fprintf(&b, "%s=%s\n", path, value)
-	}
-	return b.String()
-}
-
 func TestLines(t *testing.T) {
 	c := ParseLines([]byte("a.b=1.5\nlist=x,y\nempty=\nyes=true\nunknown.key=7\n"))
 	if c.Num("a.b") != 1.5 || len(c.List("list")) != 2 || len(c.List("empty")) != 0 || !c.Bool("yes") ||
@@ -59,7 +34,7 @@
 }
 
 func TestBuild(t *testing.T) {
-	cfg, err := Build(ParseLines([]byte(lines("report.columns=util,inflight", "discovery=ask", "tenants.count=1", "tenants.0.quota_per_s=40.5",
+	cfg, err := Build(ParseLines([]byte(settingstest.Lines("report.columns=util,inflight", "discovery=ask", "tenants.count=1", "tenants.0.quota_per_s=40.5",
 		"over_share_worth=0.1", "limits.retry_after=false"))))
 	if err != nil {
 		t.Fatal(err)
@@ -69,7 +44,7 @@
 		cfg.Classes[1].Window != 7000 || cfg.Classes[0].Effect != balance.Safe || cfg.OverShareWorth != 0.1 {
 		t.Errorf("%+v", cfg)
 	}
-	cfg, err = Build(ParseLines([]byte(lines("tenants="))))
+	cfg, err = Build(ParseLines([]byte(settingstest.Lines("tenants="))))
 	if err != nil || cfg.Inflight != -1 || len(cfg.TenantQuota) != 0 || cfg.Tiers != 1 {
 		t.Errorf("%v %+v", err, cfg)
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -13,14 +12,12 @@
 	"golang.org/x/sys/unix"
 
 	"salttrack/balance"
-	"salttrack/internal/counter"
 	"salttrack/internal/epoll"
+	"salttrack/internal/epoll/epolltest"
 	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
 )
 
-const patience = 10 * time.Second
-
 type ending struct {
 	a *exchange.Attempt
 	r exchange.Result
@@ -28,11 +25,9 @@
 
 // rig is a pool on a loop of its own.
 type rig struct {
-	t     *testing.T
-	p     *Pool
-	loop  *epoll.Loop
-	count counter.Set
-	ends  chan ending
+	*epolltest.Rig
+	p    *Pool
+	ends chan ending
 }
 
 func (r *rig) Ended(a *exchange.Attempt, res exchange.Result)      { r.ends <- ending{a, res} }
@@ -40,88 +35,55 @@
 
 func newRig(t *testing.T, limit int) *rig {
 	t.Helper()
-	loop, err := epoll.New()
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &rig{t: t, loop: loop, ends: make(chan ending, 100)}
-	r.p = New(Options{Loop: loop, Table: epoll.NewTable(limit), Counters: &r.count, ConnectTimeout: 250, KeepAlive: 15000, Reports: true})
+	r := &rig{Rig: epolltest.Start(t), ends: make(chan ending, 100)}
+	r.p = New(Options{Loop: r.Loop, Table: epoll.NewTable(limit), Counters: &r.Count, ConnectTimeout: 250, KeepAlive: 15000, Reports: true})
 	r.p.Listen(r)
-	done := make(chan error, 1)
-	go func() { done <- loop.Run() }()
 	t.Cleanup(func() {
-		loop.Post(func() { r.p.Close(); loop.Stop() })
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-		if n := len(r.p.out) + r.p.idle.Len(); n != 0 || r.p.side.Crowded() && limit > 8 {
+		r.Do(r.p.Close)
+		if n := len(r.p.out) + r.p.idle.Len() + r.p.side.Open(); n != 0 {
 			t.Errorf("%d connections are left", n)
 		}
 	})
 	return r
 }
 
-func (r *rig) do(f func()) {
-	done := make(chan struct{})
-	r.loop.Post(func() { f(); close(done) })
-	<-done
-}
-
-func (r *rig) counted(name string) (v uint64) {
-	r.do(func() { v, _ = r.count.Value(name) })
-	return v
-}
-
-func (r *rig) waitFor(name string, want uint64) {
-	r.t.Helper()
-	for end := time.Now().Add(patience); r.counted(name) != want; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			r.t.Fatalf("%s is %d, want %d", name, r.counted(name), want)
-		}
-	}
-}
-
 // start sends a request to upstream 1.
 func (r *rig) start(body string) *exchange.Attempt {
 	x := exchange.New(r, &http1.Request{Method: "POST", Target: "/pay/x?y=z", Txn: "77", Lane: "pay", Key: "k", Body: []byte(body)})
 	var a *exchange.Attempt
-	r.do(func() {
-		a = x.Begin(1, r.loop.Now(), r.loop.Now()+480)
+	r.Do(func() {
+		a = x.Begin(1, r.Loop.Now(), r.Loop.Now()+480)
 		r.p.Start(a)
 	})
 	return a
 }
 
 func (r *rig) end(a *exchange.Attempt) exchange.Result {
-	r.t.Helper()
+	r.T.Helper()
 	select {
 	case e := <-r.ends:
 		if e.a != a {
-			r.t.Fatal("another attempt ended")
+			r.T.Fatal("another attempt ended")
 		}
 		a.Exchange.End(a, e.r.Outcome.NeverRan())
 		return e.r
-	case <-time.After(patience):
-		r.t.Fatal("the attempt does not end")
+	case <-time.After(epolltest.Patience):
+		r.T.Fatal("the attempt does not end")
 	}
 	return exchange.Result{}
 }
 
 // peer plays the upstream.
 type peer struct {
+	*epolltest.Listener
 	t *testing.T
-	l *net.TCPListener
 }
 
 func newPeer(t *testing.T, r *rig) *peer {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	r.do(func() { r.p.Place(1, netip.MustParseAddrPort(l.Addr().String()), 0) })
-	return &peer{t, l.(*net.TCPListener)}
+	p := &peer{epolltest.Listen(t), t}
+	r.Do(func() { r.p.Place(1, p.Address(), 0) })
+	return p
 }
 
 type peerConn struct {
@@ -132,13 +94,7 @@
 
 func (p *peer) accept() *peerConn {
 	p.t.Helper()
-	p.l.SetDeadline(time.Now().Add(patience))
-	c, err := p.l.AcceptTCP()
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	p.t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(patience))
+	c := p.Next()
 	return &peerConn{c, bufio.NewReader(c), p.t}
 }
 
@@ -207,7 +163,7 @@
 		if got.Outcome != tt.want || string(got.Body) != tt.body || !a.Whole {
 			t.Errorf("%s: outcome %v, body %q, whole %v", tt.name, got.Outcome, got.Body, a.Whole)
 		}
-		if idle := r.counted("up_open") == 1; idle != tt.reused {
+		if idle := r.Counted("up_open") == 1; idle != tt.reused {
 			t.Errorf("%s: the connection is kept: %v", tt.name, idle)
 		}
 		if !tt.reused {
@@ -216,8 +172,8 @@
 		b := r.start("again")
 		c.request()
 		io.WriteString(c, tt.answer)
-		if got := r.end(b); got.Outcome != tt.want || r.counted("up_reused") != 1 {
-			t.Errorf("%s: again: outcome %v, reused %d", tt.name, got.Outcome, r.counted("up_reused"))
+		if got := r.end(b); got.Outcome != tt.want || r.Counted("up_reused") != 1 {
+			t.Errorf("%s: again: outcome %v, reused %d", tt.name, got.Outcome, r.Counted("up_reused"))
 		}
 	}
 }
@@ -256,8 +212,8 @@
 		p := newPeer(t, r)
 		a := r.start(strings.Repeat("x", 32<<20))
 		io.WriteString(p.accept(), answer)
-		if got := r.end(a); got.Outcome != want || r.counted("up_open") != 0 {
-			t.Errorf("%.12s: outcome %v, %d kept", answer, got.Outcome, r.counted("up_open"))
+		if got := r.end(a); got.Outcome != want || r.Counted("up_open") != 0 {
+			t.Errorf("%.12s: outcome %v, %d kept", answer, got.Outcome, r.Counted("up_open"))
 		}
 	}
 }
@@ -265,11 +221,11 @@
 func TestCouldNotConnect(t *testing.T) {
 	r := newRig(t, 64)
 	p := newPeer(t, r)
-	p.l.Close()
+	p.Close()
 	if got := r.end(r.start("x")); got.Outcome != balance.ConnectFailed {
 		t.Errorf("refused: outcome %v", got.Outcome)
 	}
-	r.do(func() { r.p.Remove(1) })
+	r.Do(func() { r.p.Remove(1) })
 	if got := r.end(r.start("x")); got.Outcome != balance.ConnectFailed {
 		t.Errorf("unknown upstream: outcome %v", got.Outcome)
 	}
@@ -297,10 +253,10 @@
 		defer unix.Close(c)
 	}
 	r := newRig(t, 64)
-	r.do(func() { r.p.Place(1, addr, 0) })
+	r.Do(func() { r.p.Place(1, addr, 0) })
 	a := r.start("x")
-	if got := r.end(a); got.Outcome != balance.ConnectFailed || a.Whole || r.counted("up_connect_timed_out") != 1 {
-		t.Errorf("outcome %v, whole %v, %d timed out", got.Outcome, a.Whole, r.counted("up_connect_timed_out"))
+	if got := r.end(a); got.Outcome != balance.ConnectFailed || a.Whole || r.Counted("up_connect_timed_out") != 1 {
+		t.Errorf("outcome %v, whole %v, %d timed out", got.Outcome, a.Whole, r.Counted("up_connect_timed_out"))
 	}
 }
 
@@ -311,11 +267,11 @@
 	a := r.start("x")
 	c := p.accept()
 	c.request()
-	r.do(func() { r.p.Stop(a); r.p.Stop(a) })
+	r.Do(func() { r.p.Stop(a); r.p.Stop(a) })
 	if _, err := c.in.ReadByte(); err != io.EOF {
 		t.Errorf("the upstream sees %v", err)
 	}
-	if r.counted("up_open") != 0 || len(r.ends) != 0 {
+	if r.Counted("up_open") != 0 || len(r.ends) != 0 {
 		t.Error("a stopped attempt is kept, or ends again")
 	}
 }
@@ -331,7 +287,7 @@
 		r.end(a)
 		return c
 	}
-	addr := netip.MustParseAddrPort(p.l.Addr().String())
+	addr := p.Address()
 	tests := []struct {
 		name string
 		do   func(*peerConn)
@@ -339,32 +295,30 @@
 		{"the upstream closes it", func(c *peerConn) { c.Close() }},
 		{"the upstream ends its sending", func(c *peerConn) { c.CloseWrite() }},
 		{"the upstream speaks out of turn", func(c *peerConn) { io.WriteString(c, "HTTP/1.1 408 Late\r\n\r\n") }},
-		{"it has been idle for long", func(c *peerConn) {
-			r.do(func() { r.loop.Timers.Run(r.loop.Now() + 14000) })
-		}},
-		{"another process has its place", func(c *peerConn) { r.do(func() { r.p.Place(1, addr, 5) }) }},
-		{"it is gone", func(c *peerConn) { r.do(func() { r.p.Remove(1); r.p.Place(1, addr, 0) }) }},
-		{"room is needed", func(c *peerConn) { r.do(func() { r.p.shedIdle() }) }},
+		{"it has been idle for long", func(c *peerConn) { r.Pass(14000) }},
+		{"another process has its place", func(c *peerConn) { r.Do(func() { r.p.Place(1, addr, 5) }) }},
+		{"it is gone", func(c *peerConn) { r.Do(func() { r.p.Remove(1); r.p.Place(1, addr, 0) }) }},
+		{"room is needed", func(c *peerConn) { r.Do(func() { r.p.shedIdle() }) }},
 	}
 	for _, tt := range tests {
 		c := idle()
 		tt.do(c)
-		r.waitFor("up_open", 0)
+		r.WaitFor("up_open", 0)
 	}
 	c := idle()
-	r.do(func() { r.loop.Timers.Run(r.loop.Now() + 13000) })
-	if r.counted("up_open") != 1 {
+	r.Pass(13000)
+	if r.Counted("up_open") != 1 {
 		t.Error("a connection is dropped long before its time")
 	}
 	// Closed in the same turn as it would be used: the loop has not been told yet.
 	x := exchange.New(r, &http1.Request{Method: "GET", Target: "/", Txn: "1"})
 	var a *exchange.Attempt
-	r.do(func() {
+	r.Do(func() {
 		c.Close()
 		for epoll.Quiet(r.p.ups[1].idle[0].fd) {
 			time.Sleep(time.Millisecond)
 		}
-		a = x.Begin(1, r.loop.Now(), r.loop.Now()+400)
+		a = x.Begin(1, r.Loop.Now(), r.Loop.Now()+400)
 		r.p.Start(a)
 	})
 	fresh := p.accept()
@@ -382,10 +336,10 @@
 	a := r.start("x")
 	c := p.accept()
 	c.request()
-	r.do(func() { r.p.Place(1, netip.MustParseAddrPort(p.l.Addr().String()), 7) })
+	r.Do(func() { r.p.Place(1, p.Address(), 7) })
 	io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-	if got := r.end(a); got.Outcome != balance.OK || r.counted("up_open") != 0 {
-		t.Errorf("outcome %v, %d kept", got.Outcome, r.counted("up_open"))
+	if got := r.end(a); got.Outcome != balance.OK || r.Counted("up_open") != 0 {
+		t.Errorf("outcome %v, %d kept", got.Outcome, r.Counted("up_open"))
 	}
 }
 
@@ -399,10 +353,10 @@
 		all = append(all, r.start("x"))
 		p.accept()
 	}
-	if got := r.end(r.start("x")); got.Outcome != balance.Moot || r.counted("up_no_descriptor") != 1 {
+	if got := r.end(r.start("x")); got.Outcome != balance.Moot || r.Counted("up_no_descriptor") != 1 {
 		t.Errorf("outcome %v", got.Outcome)
 	}
-	r.do(func() { r.p.Stop(all[0]) })
+	r.Do(func() { r.p.Stop(all[0]) })
 	r.start("x")
 	p.accept()
 }
