Late answers are those after the caller's own time; down to 48 descriptors are enough to start

A configuration of under 96 descriptors was refused at the start, which would have been a crash; 48 are enough for one that is small.

--- a/cmd/salttrack/main.go
+++ b/cmd/salttrack/main.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	socketsLeast = 96  // below this the parts that are set aside leave nothing to serve with
-	memoryLeast  = 16  // MB
+	socketsLeast = 48  // below this the parts that are set aside leave nothing to serve with
+	memoryLeast  = 8   // MB
 	ownSockets   = 20  // the loop's, the listener, discovery, the standard streams, the runtime's
 	spareSockets = 32  // for callers that come when all others are in use
 	memoryShare  = 0.7 // of the memory limit is what the runtime tries to stay under
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -166,8 +166,8 @@
 	default:
 		x := exchange.New(c, &r)
 		x.Class, x.Resent = class, r.Resent
-		x.Expires = c.began + r.Remaining*1000
-		x.Expires -= min(s.Ahead, r.Remaining*1000/10)
+		x.Deadline = c.began + r.Remaining*1000
+		x.Expires = x.Deadline - min(s.Ahead, r.Remaining*1000/10)
 		c.exchange = x
 		s.core.Take(x)
 	}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -251,7 +251,7 @@
 	if !x.Finish(a) {
 		return false
 	}
-	if a.Verdict != exchange.Left && d.now() > x.Expires {
+	if a.Verdict != exchange.Left && d.now() > x.Deadline {
 		d.counters.late.Inc()
 	}
 	switch c := &d.counters; a.Verdict {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -37,7 +37,8 @@
 	Class    uint8
 	Tenant   uint16
 	Resent   bool           // the caller marked it as a repeat
-	Expires  balance.Millis // when the caller gives up, by the loop's clock
+	Expires  balance.Millis // when the answer is wanted at the latest, by the loop's clock
+	Deadline balance.Millis // when the caller gives up, a little later
 	Message  any            // the decoded request, which only the two sides of its protocol look into
 	Attempts []*Attempt
 
