Timers run only after a look at the descriptors; what may be shed depends on what may come

Seen: with sixteen busy loops beside the tests on eight cores, a connect that was up timed out, and four requests on fresh connections were lost. Causes: a turn longer than the connect time-out ran the timer before the loop had looked again (turn, its last lines); with the spare descriptors used up, shedSilent took any connection silent for 0.1 s, also one whose first request was arriving. Ruled out: the peers closing (none did), the table (the limit was kept). Now timers wait for a look, and the short measure holds between requests only.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -21,6 +21,7 @@
 	s         *Server
 	fd        int
 	over      bool           // beyond the table: it is told to go elsewhere
+	answered  bool           // a request before
 	heard     balance.Millis // when the last byte came, or the connection began to wait
 	dec       *http1.RequestDecoder
 	pending   []byte // read, and not yet of use
@@ -52,7 +53,7 @@
 	c.continued = false
 	c.place = c.s.waiting.PushBack(c)
 	if c.over {
-		c.timeout(overMost, c.close)
+		c.timeout(overMost, c.overdue)
 	} else {
 		c.timeout(idleMost, c.close)
 	}
@@ -141,6 +142,15 @@
 	c.request(c.dec.Request())
 }
 
+// overdue gives a spare descriptor back, unless a request is still arriving on it.
+func (c *conn) overdue() {
+	if c.dec.Begun() && c.s.Loop.Now()-c.heard < overMost {
+		c.timeout(overMost, c.overdue)
+		return
+	}
+	c.close()
+}
+
 func (c *conn) tooSlow() {
 	c.s.count.late.Inc()
 	c.reject(408, true)
@@ -247,7 +257,7 @@
 		c.s.Loop.Watch(c.fd, epoll.Out)
 		return
 	}
-	c.unsent = nil
+	c.unsent, c.answered = nil, true
 	if c.last {
 		c.linger()
 		return
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -26,7 +26,8 @@
 	lastAccept  = 150.0   // ms more in which the listener stays open
 	halfMost    = 1000.0  // ms more for requests that have begun to arrive
 	silentLeast = 1000.0  // ms without a byte, before a connection is shed to make room
-	silentShort = 100.0   // ms, when there is no other way to take more
+	silentShort = 100.0   // ms between requests, when there is no other way to take more
+	partLeast   = 3000.0  // ms without a byte in the middle of a request
 	overMost    = 1000.0  // ms that a connection on a spare descriptor has for its request
 )
 
@@ -144,24 +145,32 @@
 	})
 }
 
-// shed closes the connection that has been silent longest, if it has been for a while. One that was answered
-// a moment ago, or has just come, is likely to bring a request while it is being closed, and the caller that
-// meets this twice has lost it.
+// shed closes the connection that has been silent longest, if it has been for a while.
 func (s *Server) shed() bool { return s.shedSilent(silentLeast) }
 
-// shedSilent is shed with another measure of silence. With the spare descriptors used too, what waits in the
-// kernel's queue is in more danger than a caller that has been silent for a moment.
-func (s *Server) shedSilent(least balance.Millis) bool {
+// shedSilent is shed with a measure of its own for connections between requests, which callers know may be
+// closed at any time. One that was answered a moment ago is likely to bring a request while it is being closed,
+// and the caller that meets this twice has lost it. From one that has just come a request is expected even
+// more, and of one that has brought a part of it the rest may be on its way.
+func (s *Server) shedSilent(between balance.Millis) bool {
+	now := s.Loop.Now()
 	for e := s.waiting.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*conn)
-		if s.Loop.Now()-c.heard < least {
-			return false
+		least := between
+		switch {
+		case c.dec.Begun():
+			least = partLeast
+		case !c.answered:
+			least = silentLeast
 		}
-		if !c.over && epoll.Quiet(c.fd) {
+		if !c.over && now-c.heard >= least && epoll.Quiet(c.fd) {
 			s.count.shed.Inc()
 			c.close()
 			return true
 		}
+		if now-c.heard < between {
+			return false
+		}
 	}
 	return false
 }
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -451,3 +451,70 @@
 		c.atEnd()
 	}
 }
+
+// Under a busy machine callers whose request was on its way lost their connection to others: how long a
+// connection must have been silent depends on what may be coming on it.
+func TestWhatMayBeShed(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		before string // what the caller sent
+		answer bool
+		silent float64
+		short  bool // the spare descriptors are used up
+		want   bool
+	}{
+		{"between requests, a moment", "", true, 500, false, false},
+		{"between requests, a second", "", true, 1000, false, true},
+		{"between requests, a moment, no other way", "", true, 500, true, true},
+		{"just come", "", false, 500, false, false},
+		{"just come, no other way", "", false, 500, true, false},
+		{"come a second ago", "", false, 1000, true, true},
+		{"half a request, a second", get("1")[:50], false, 1500, true, false},
+		{"half a request, longer", get("1")[:50], false, 3000, false, true},
+	} {
+		r := newRig(t, 64, 4)
+		c := r.dial()
+		if tt.answer {
+			c.send(get("0"))
+			r.serve(r.next(), "ok")
+			c.answer()
+		}
+		c.send(tt.before)
+		r.WaitFor("down_open", 1)
+		var got bool
+		for begun := tt.before == ""; !begun; time.Sleep(time.Millisecond) {
+			r.Do(func() { begun = r.s.waiting.Front().Value.(*conn).dec.Begun() })
+		}
+		r.Do(func() {
+			r.s.waiting.Front().Value.(*conn).heard = r.Loop.Now() - tt.silent
+			if got = r.s.shed(); !got && tt.short {
+				got = r.s.shedSilent(silentShort)
+			}
+		})
+		if got != tt.want {
+			t.Errorf("%s: shed %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// A request that arrives slowly on a spare descriptor gets its refusal all the same.
+func TestSlowRequestOnASpareDescriptor(t *testing.T) {
+	r := newRig(t, 4, 2) // one side may have three
+	for range 3 {
+		r.dial()
+	}
+	r.WaitFor("down_open", 3)
+	c := r.dial()
+	c.send(get("1")[:40])
+	r.WaitFor("down_open", 4)
+	r.Do(func() {
+		for !r.s.waiting.Back().Value.(*conn).dec.Begun() { // until the bytes are there
+			r.s.waiting.Back().Value.(*conn).read()
+		}
+		r.Loop.Timers.Run(r.Loop.Now() + overMost) // the first bytes came late in its time
+	})
+	c.send(get("1")[40:])
+	if a, _ := c.answer(); a.StatusCode != 503 {
+		t.Errorf("status %d", a.StatusCode)
+	}
+}
--- a/internal/epoll/epoll_test.go
+++ b/internal/epoll/epoll_test.go
@@ -202,3 +202,28 @@
 		t.Error("listens on an address that is not this machine's")
 	}
 }
+
+// A long turn must not end in time-outs of what came meanwhile: descriptors are looked at first.
+func TestTimerWaitsForALook(t *testing.T) {
+	l := newLoop(t)
+	order := ""
+	fd, peer := pair(t)
+	defer unix.Close(peer)
+	l.Add(fd, In, handler(func(uint32) {
+		var p [1]byte
+		Read(fd, p[:])
+		order += "read "
+	}))
+	l.Post(func() {
+		due := l.Now()
+		l.Timers.Set(due, func() { order += "timer " })
+		Write(peer, []byte("x"))
+		for l.Now() <= due {
+		}
+	})
+	l.turn()
+	l.turn()
+	if order != "read timer " {
+		t.Errorf("order %q", order)
+	}
+}
--- a/internal/epoll/loop.go
+++ b/internal/epoll/loop.go
@@ -137,8 +137,9 @@
 // Stop ends Run after the present turn.
 func (l *Loop) Stop() { l.stopped = true }
 
-// Run serves until Stop. A turn handles descriptors before timers: what has come in is seen before a
-// time-out decides that it has not.
+// Run serves until Stop. A turn handles descriptors before timers, and only the timers that were due when it
+// looked at the descriptors: what has come in is seen before a time-out decides that it has not. (A turn in
+// which the process lost its core for 250 ms had timed out connects that were up.)
 func (l *Loop) Run() error {
 	for l.stopped = false; !l.stopped; {
 		if err := l.turn(); err != nil {
@@ -167,7 +168,7 @@
 			}
 		}
 	}
-	l.Timers.Run(l.Now())
+	l.Timers.Run(l.turned)
 	return nil
 }
 
