--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"errors"
 	"math"
 	"strings"
 
@@ -124,7 +125,11 @@
 	}
 	n, err := c.dec.Feed(p)
 	if err != nil {
-		c.reject(err.(*http1.Error).Status, true)
+		status := 400
+		if e := (*http1.Error)(nil); errors.As(err, &e) {
+			status = e.Status
+		}
+		c.reject(status, true)
 		return
 	}
 	if !c.dec.Done() {
@@ -170,7 +175,7 @@
 	switch {
 	case status != 0:
 		c.reject(status, false)
-	case c.over: // no descriptor is left to serve it with
+	case c.over && !c.promote(): // no descriptor is left to serve it with
 		s.count.overflow.Inc()
 		c.answer(503, 0, true, nil)
 	default:
@@ -183,6 +188,16 @@
 	}
 }
 
+// promote gives a connection on a spare descriptor a place in the table, if there is one by now.
+func (c *conn) promote() bool {
+	if !c.s.side.Take() {
+		return false
+	}
+	c.over = false
+	c.s.over--
+	return true
+}
+
 // check finds the class of a request, or the status that answers a malformed one.
 func (s *Server) check(r *http1.Request, path string) (uint8, int) {
 	if r.Method != "GET" && r.Method != "POST" {
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -497,6 +497,31 @@
 	}
 }
 
+// A caller on a spare descriptor is served after all if there is room when its request comes.
+func TestRoomByTheTimeOfTheRequest(t *testing.T) {
+	r := newRig(t, 4, 2) // one side may have three
+	first := r.dial()
+	r.dial()
+	r.dial()
+	r.WaitFor("down_open", 3)
+	c := r.dial()
+	r.WaitFor("down_open", 4)
+	first.Close()
+	r.WaitFor("down_open", 3)
+	c.send(get("1"))
+	r.serve(r.next(), "ok")
+	if _, got := c.answer(); got != "ok" {
+		t.Errorf("answer %q", got)
+	}
+	c.Close()
+	r.WaitFor("down_open", 2)
+	r.Do(func() {
+		if r.s.over != 0 || r.s.side.Open() != 2 {
+			t.Errorf("%d on spare descriptors, %d in the table", r.s.over, r.s.side.Open())
+		}
+	})
+}
+
 // A request that arrives slowly on a spare descriptor gets its refusal all the same.
 func TestSlowRequestOnASpareDescriptor(t *testing.T) {
 	r := newRig(t, 4, 2) // one side may have three
