--- a/cmd/salttrack/config.go
+++ b/cmd/salttrack/config.go
@@ -7,6 +7,8 @@
 	"hash/fnv"
 	"net/netip"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 
 	"salttrack/balance"
@@ -45,6 +47,17 @@
 
 // load reads the configuration that the environment names. What the environment says itself goes first.
 func load(env func(string) string) (*config, error) {
+	return read(env, "BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_DISCOVERY")
+}
+
+// reload reads it again for a program that runs: the file is newer than the environment, so it says where
+// discovery is now.
+func reload(env func(string) string) (*config, error) {
+	return read(env, "BALANCER_NAME", "BALANCER_LISTEN")
+}
+
+// read reads the configuration. The named variables go before the file.
+func read(env func(string) string, first ...string) (*config, error) {
 	path := env("BALANCER_CONFIG")
 	if path == "" {
 		return nil, errors.New("BALANCER_CONFIG is not set")
@@ -57,9 +70,10 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
-	for name, into := range map[string]*string{"BALANCER_NAME": &f.Name, "BALANCER_LISTEN": &f.Listen, "BALANCER_DISCOVERY": &f.Discovery} {
+	into := map[string]*string{"BALANCER_NAME": &f.Name, "BALANCER_LISTEN": &f.Listen, "BALANCER_DISCOVERY": &f.Discovery}
+	for _, name := range first {
 		if v := env(name); v != "" {
-			*into = v
+			*into[name] = v
 		}
 	}
 	c, err := f.check()
@@ -69,6 +83,19 @@
 	return c, nil
 }
 
+// restartFor names what differs in a configuration read again and is only taken up at the next start.
+func (c *config) restartFor(again *config) []string {
+	var names []string
+	for name, same := range map[string]bool{"name": c.name == again.name, "listen": c.listen == again.listen,
+		"limits": c.limits == again.limits, "settings": reflect.DeepEqual(c.settings, again.settings)} {
+		if !same {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 func (f *file) check() (*config, error) {
 	c := &config{name: f.Name, limits: f.Limits}
 	var err error
--- a/cmd/salttrack/main.go
+++ b/cmd/salttrack/main.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
@@ -61,10 +62,12 @@
 	counters counter.Set
 	pool     *upstream.Pool
 	book     *discovery.Book
-	watch    *discovery.Watch
+	list     *discovery.Follower
 	driver   *driver.Driver
 	server   *downstream.Server
 	started  balance.Millis
+
+	reloads, badReloads *counter.Counter
 }
 
 func newBalancer(c *config, log *logrus.Entry) (*balancer, error) {
@@ -76,7 +79,7 @@
 	most := sockets(c.limits.Sockets)
 	spare := min(spareSockets, most/16)
 	table := epoll.NewTable(most - ownSockets - spare)
-	b.watch = discovery.NewWatch(discovery.Options{Loop: loop, Address: c.discovery, Revision: c.known.Revision,
+	b.list = discovery.NewFollower(discovery.Options{Loop: loop, Address: c.discovery, Revision: c.known.Revision,
 		Counters: &b.counters, News: b.news, Note: func(s string) { log.Warn(s) }})
 	// The callers' side comes first in the table: their silent connections are shed before idle ones to upstreams.
 	b.server = downstream.NewServer(downstream.Options{Loop: loop, Table: table, Spare: spare,
@@ -88,6 +91,7 @@
 		Upstreams: b.pool, Counters: &b.counters, Note: func(s string) { log.Info(s) }})
 	b.pool.Listen(b.driver)
 	b.server.Serve(b.driver)
+	b.reloads, b.badReloads = b.counters.New("reloads"), b.counters.New("reloads_failed")
 	b.counters.Reading("connections", func() uint64 { return uint64(table.Open()) })
 	b.counters.Reading("invariants_broken", invariant.Broken)
 	return b, nil
@@ -109,17 +113,17 @@
 
 // ready reports whether the list is fresh, or discovery has had its time to say so.
 func (b *balancer) ready() bool {
-	return b.watch.Answered() || b.loop.Now() > b.started+readyWithin && len(b.config.known.Members) > 0
+	return b.list.Answered() || b.loop.Now() > b.started+readyWithin && len(b.config.known.Members) > 0
 }
 
 func (b *balancer) serve() error {
+	b.signals()
 	b.news(b.config.known)
 	b.driver.Start()
-	b.watch.Start()
+	b.list.Start()
 	if err := b.server.Listen(b.config.listen); err != nil {
 		return err
 	}
-	b.signals()
 	b.log.WithFields(logrus.Fields{"listen": b.config.listen, "tier": b.config.settings.Stage}).Info("serving")
 	err := b.loop.Run()
 	b.pool.Close()
@@ -127,17 +131,40 @@
 	return err
 }
 
-// signals lets SIGTERM and SIGINT begin the end, and SIGUSR1 print the counters.
+// signals lets SIGTERM and SIGINT begin the end, SIGHUP read the configuration again, and SIGUSR1 print the
+// counters. The file is read here and not on the loop, which must not wait for a disk.
 func (b *balancer) signals() {
 	c := make(chan os.Signal, 8)
-	signal.Notify(c, unix.SIGTERM, unix.SIGINT, unix.SIGUSR1)
+	signal.Notify(c, unix.SIGTERM, unix.SIGINT, unix.SIGHUP, unix.SIGUSR1)
 	go func() {
 		for s := range c {
+			if s == unix.SIGHUP {
+				again, err := reload(os.Getenv)
+				b.loop.Post(func() { b.reconfigure(again, err) })
+				continue
+			}
 			b.loop.Post(func() { b.signal(s) })
 		}
 	}()
 }
 
+// reconfigure takes up a configuration that was read again: discovery may be elsewhere now. One that can't be
+// used leaves all as it is. A second signal, one with an unchanged file and one during the end are harmless.
+func (b *balancer) reconfigure(again *config, err error) {
+	if err != nil {
+		b.badReloads.Inc()
+		b.log.WithError(err).Warn("the configuration stays as it was")
+		return
+	}
+	b.reloads.Inc()
+	log := b.log.WithField("discovery", again.discovery)
+	if names := b.config.restartFor(again); len(names) > 0 {
+		log = log.WithField("at_next_start", strings.Join(names, " "))
+	}
+	log.Info("configuration read again")
+	b.list.Move(again.discovery)
+}
+
 func (b *balancer) signal(s os.Signal) {
 	if s == unix.SIGUSR1 {
 		b.log.WithField("counters", b.counters.String()).Info("counters")
--- a/cmd/salttrack/main_test.go
+++ b/cmd/salttrack/main_test.go
@@ -162,7 +162,7 @@
 	return l.b.String()
 }
 
-func start(t *testing.T, path string) *program {
+func start(t *testing.T, path string, env ...string) *program {
 	t.Helper()
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -174,6 +174,7 @@
 	}
 	p := &program{t: t, cmd: exec.Command(os.Args[0]), addr: c.Listen, log: &lockedBuffer{}, done: make(chan error, 1)}
 	p.cmd.Env = append(os.Environ(), asProgram+"=1", "BALANCER_CONFIG="+path)
+	p.cmd.Env = append(p.cmd.Env, env...)
 	p.cmd.Stderr = p.log
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -331,6 +332,66 @@
 	}
 }
 
+// SIGHUP reads the configuration again: discovery is where the file says, not where the environment said at the
+// start. A file that can't be used changes nothing, and nothing is lost meanwhile, in the end either.
+func TestHangup(t *testing.T) {
+	w, other := newWorld(t, echo), newWorld(t, echo)
+	path := w.config(nil)
+	p := start(t, path, "BALANCER_DISCOVERY="+w.agent.Addr().String())
+	count := func(name string) int {
+		p.cmd.Process.Signal(syscall.SIGUSR1)
+		time.Sleep(5 * time.Millisecond)
+		return p.counters()[name]
+	}
+	hangup := func(text, counter string, want int) {
+		t.Helper()
+		if text != "" {
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		p.until(fmt.Sprint(counter, " is ", want), func() bool { return count(counter) == want })
+	}
+	good, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	moved := strings.ReplaceAll(string(good), w.agent.Addr().String(), other.agent.Addr().String())
+	hangup("", "reloads", 1)
+	hangup("{", "reloads_failed", 1)
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	hangup("", "reloads_failed", 2)
+	if n := count("watch_moves"); n != 0 {
+		t.Errorf("%d moves without a new address", n)
+	}
+	if status, _ := p.ask("read", "before"); status != 200 || w.ups[0].seen.Load() != 1 {
+		t.Errorf("before the move: %d", status)
+	}
+	lists := count("lists")
+	hangup(moved, "reloads", 2)
+	hangup("", "reloads", 3)
+	p.until("the list from the new address", func() bool { return count("lists") == lists+1 })
+	w.agent.Close()
+	if status, _ := p.ask("read", "after"); status != 200 || other.ups[0].seen.Load() != 1 {
+		t.Errorf("after the move: %d, %d requests at the upstream listed there", status, other.ups[0].seen.Load())
+	}
+	hangup(strings.Replace(moved, `"max_attempts":6`, `"max_attempts":5`, 1), "reloads", 4)
+	if !strings.Contains(p.log.String(), "at_next_start=settings") {
+		t.Errorf("the log does not say that new settings wait for a start:\n%s", p.log)
+	}
+	if n := count("watch_moves"); n != 1 {
+		t.Errorf("%d moves, want 1", n)
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	if err := <-p.done; err != nil {
+		t.Errorf("ends with %v; log:\n%s", err, p.log)
+	}
+}
+
 // SIGTERM: what is in hand is answered, and so is what still comes.
 func TestTerminated(t *testing.T) {
 	entered, release := make(chan struct{}, 10), make(chan struct{})
@@ -455,6 +516,13 @@
 	if err != nil || c.name != "other" || c.listen.String() != "127.0.0.9:1" || c.discovery.String() != "127.0.0.8:2" || c.seed != 0x8c1f30d27a5be964 {
 		t.Errorf("%+v %v", c, err)
 	}
+	// Read again, the file is newer than what the environment says of discovery.
+	c, err = reload(func(name string) string {
+		return map[string]string{"BALANCER_CONFIG": path, "BALANCER_LISTEN": "127.0.0.9:1", "BALANCER_DISCOVERY": "127.0.0.8:2"}[name]
+	})
+	if err != nil || c.discovery.String() != w.agent.Addr().String() || c.listen.String() != "127.0.0.9:1" {
+		t.Errorf("read again: %+v %v", c, err)
+	}
 	if len(c.settings.Classes) != 2 || c.settings.ClassNames[1] != "pay" || c.settings.KeepAlive != 15000 || len(c.settings.ZoneNames) != 2 {
 		t.Errorf("settings %+v", c.settings)
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -112,10 +112,10 @@
 }
 
 // follow starts a watch of the agent.
-func follow(t *testing.T, at netip.AddrPort) (r *epolltest.Rig, w *Watch, news chan *Update, notes chan string) {
+func follow(t *testing.T, at netip.AddrPort) (r *epolltest.Rig, w *Follower, news chan *Update, notes chan string) {
 	r = epolltest.Start(t)
 	news, notes = make(chan *Update, 100), make(chan string, 100)
-	w = NewWatch(Options{Loop: r.Loop, Address: at, Revision: 41, Counters: &r.Count,
+	w = NewFollower(Options{Loop: r.Loop, Address: at, Revision: 41, Counters: &r.Count,
 		News: func(u *Update) { news <- u }, Note: func(s string) { notes <- s }})
 	r.Do(w.Start)
 	t.Cleanup(func() { r.Do(w.Stop) })
@@ -223,3 +223,76 @@
 		}
 	})
 }
+
+// Discovery moves: the whole list is asked for there, and the old address is heard until it has come.
+func TestMove(t *testing.T) {
+	from, to := &agent{epolltest.Listen(t), t}, &agent{epolltest.Listen(t), t}
+	r, f, news, _ := follow(t, from.Address())
+	expect := func(revision uint64) {
+		t.Helper()
+		select {
+		case u := <-news:
+			if u.Revision != revision {
+				t.Errorf("revision %d, want %d", u.Revision, revision)
+			}
+		case <-time.After(epolltest.Patience):
+			t.Fatalf("revision %d is not told", revision)
+		}
+	}
+	moves := func() (n uint64) { r.Do(func() { n = f.count.moves.Value() }); return }
+	old := from.accept()
+	old.head()
+	old.tell(update(43, true, member("s-1", "in_service")) + "\n")
+	expect(43)
+	r.Do(func() { f.Move(from.Address()) }) // an unchanged configuration
+	if n := moves(); n != 0 {
+		t.Errorf("%d moves to where it is", n)
+	}
+	r.Do(func() { f.Move(to.Address()) })
+	s := to.accept()
+	r.Do(func() { f.Move(to.Address()) }) // told twice
+	if n := moves(); n != 1 || s.since != "" {
+		t.Errorf("%d moves; asks for what came after %q, want all", n, s.since)
+	}
+	s.head()
+	s.tell("\n") // an empty line tells no list
+	old.tell(update(44, false, member("s-2", "in_service")) + "\n")
+	expect(44)
+	s.tell(update(7, true, member("s-2", "in_service")) + "\n")
+	expect(7)
+	if n, err := old.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the old watch is still open: %d, %v", n, err)
+	}
+	s.Close() // from now on it is this address and its revisions
+	if s = to.accept(); s.since != "7" {
+		t.Errorf("asks for what came after %s, want 7", s.since)
+	}
+	// There and back again before anything is told: the watch that tells goes on.
+	s.head()
+	r.Do(func() { f.Move(from.Address()) })
+	back := from.accept()
+	r.Do(func() { f.Move(to.Address()) })
+	if n, err := back.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("a watch that is not wanted is still open: %d, %v", n, err)
+	}
+	s.tell(update(8, false) + "\n")
+	expect(8)
+}
+
+// Upstreams that come and go under ever new ids leave nothing behind.
+func TestBookForgets(t *testing.T) {
+	b, p := NewBook(nil), places{}
+	for i := range 1000 {
+		id := fmt.Sprint("s-", i)
+		first := enter(t, b, p, update(i, false, member(id, "in_service")))
+		if i%2 == 0 {
+			if gone := enter(t, b, p, update(i, false, member(id, "terminated"))); gone[0].ID != first[0].ID {
+				t.Fatalf("%s went as %d and came as %d", id, gone[0].ID, first[0].ID)
+			}
+		}
+	}
+	enter(t, b, p, update(1001, true, member("s-last", "in_service")))
+	if len(b.ids) != 1 || len(b.names) != 1 || len(p) != 1 {
+		t.Errorf("knows %d ids, %d numbers, %d places of one upstream", len(b.ids), len(b.names), len(p))
+	}
+}
--- a/internal/discovery/members.go
+++ b/internal/discovery/members.go
@@ -58,18 +58,17 @@
 	return &u, nil
 }
 
-// Book turns what discovery tells into the module's numbers, and knows where each upstream listens.
+// Book turns what discovery tells into the module's numbers, and knows where each upstream listens. It forgets
+// those that are gone: where upstreams come and go all day, ids without end would else be kept.
 type Book struct {
 	zones []string
-	ids   map[string]balance.UpstreamID
-	taken map[balance.UpstreamID]bool
-	known map[balance.UpstreamID]bool // in the list, by the last news
+	ids   map[string]balance.UpstreamID // of those in the list, by the last news
+	names map[balance.UpstreamID]string
 }
 
 // NewBook returns an empty book. Zones are the names of the zones in the order of their numbers.
 func NewBook(zones []string) *Book {
-	return &Book{zones: slices.Clone(zones), ids: map[string]balance.UpstreamID{},
-		taken: map[balance.UpstreamID]bool{}, known: map[balance.UpstreamID]bool{}}
+	return &Book{zones: slices.Clone(zones), ids: map[string]balance.UpstreamID{}, names: map[balance.UpstreamID]string{}}
 }
 
 // Places is told where upstreams listen.
@@ -88,22 +87,27 @@
 		entries = append(entries, balance.Entry{ID: id, Zone: b.zone(m.Locality), Cell: m.Cell, State: m.state,
 			Started: m.Started})
 		if m.state == balance.Gone {
-			p.Remove(id)
-			delete(b.known, id)
+			b.remove(id, p)
 			continue
 		}
-		listed[id], b.known[id] = true, true
+		listed[id] = true
 		p.Place(id, m.addr, m.Started)
 	}
-	for id := range b.known {
+	for id := range b.names {
 		if u.Complete && !listed[id] {
-			p.Remove(id)
-			delete(b.known, id)
+			b.remove(id, p)
 		}
 	}
 	return entries
 }
 
+// remove forgets an upstream that is gone. Should its id come back, its number is the same again.
+func (b *Book) remove(id balance.UpstreamID, p Places) {
+	p.Remove(id)
+	delete(b.ids, b.names[id])
+	delete(b.names, id)
+}
+
 // id numbers an upstream. The number is made from its name alone, since the module wants copies to order
 // the upstreams alike; only where two names meet in one number does the order of their coming count.
 func (b *Book) id(name string) balance.UpstreamID {
@@ -113,10 +117,10 @@
 	h := fnv.New32a()
 	h.Write([]byte(name))
 	id := balance.UpstreamID(h.Sum32())
-	for b.taken[id] {
+	for b.names[id] != "" {
 		id++
 	}
-	b.ids[name], b.taken[id] = id, true
+	b.ids[name], b.names[id] = id, name
 	return id
 }
 
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -27,15 +27,21 @@
 type Options struct {
 	Loop     *epoll.Loop
 	Address  netip.AddrPort
-	Revision uint64 // of the list that is known already
+	Revision uint64 // of the list that is known already, 0 for none: then the whole list is asked for
 	Counters *counter.Set
 	News     func(*Update) // takes what is told, in order
 	Note     func(string)  // takes a line on trouble
 }
 
-// Watch follows the list. While it is broken, what was told last stands.
-type Watch struct {
+// counts are those of all watches of one follower.
+type counts struct {
+	watches, updates, empty, malformed, broken, moves *counter.Counter
+}
+
+// watch follows the list at one address. While it is broken, what was told last stands.
+type watch struct {
 	Options
+	*counts
 	revision uint64
 	answered bool // anything has been told since the start
 
@@ -47,23 +53,15 @@
 	timer  *timer.Timer // quiet for too long, or time for a new watch
 	delay  balance.Millis
 	buf    []byte
-
-	watches, updates, empty, malformed, broken *counter.Counter
 }
 
-// NewWatch returns a watch that has not begun.
-func NewWatch(o Options) *Watch {
-	n := o.Counters.New
-	return &Watch{Options: o, revision: o.Revision, fd: -1, delay: retryFirst, buf: make([]byte, 64<<10),
-		watches: n("watches"), updates: n("watch_updates"), empty: n("watch_empty_lines"),
-		malformed: n("watch_malformed"), broken: n("watch_broken")}
+// newWatch returns a watch that has not begun.
+func newWatch(o Options, c *counts) *watch {
+	return &watch{Options: o, counts: c, revision: o.Revision, fd: -1, delay: retryFirst, buf: make([]byte, 16<<10)}
 }
 
-// Answered reports whether discovery has told anything since the start.
-func (w *Watch) Answered() bool { return w.answered }
-
-// Start begins to follow the list.
-func (w *Watch) Start() {
+// start begins to follow the list.
+func (w *watch) start() {
 	w.watches.Inc()
 	fd, err := epoll.Connect(w.Address)
 	if err == nil {
@@ -79,29 +77,33 @@
 	w.fd, w.up = fd, false
 	w.dec = http1.NewResponseDecoder(w.take)
 	w.line = w.line[:0]
-	w.unsent = fmt.Appendf(nil, "GET /api/targets?follow=1&since=%d HTTP/1.1\r\nHost: %s\r\n\r\n", w.revision, w.Address)
+	since := ""
+	if w.revision > 0 {
+		since = fmt.Sprintf("&since=%d", w.revision)
+	}
+	w.unsent = fmt.Appendf(nil, "GET /api/targets?follow=1%s HTTP/1.1\r\nHost: %s\r\n\r\n", since, w.Address)
 	w.patience()
 }
 
 // patience starts the time anew after which silence means that the watch is broken.
-func (w *Watch) patience() {
+func (w *watch) patience() {
 	w.Loop.Timers.Stop(w.timer)
 	w.timer = w.Loop.After(quietMost, func() { w.again(errors.New("silent")) })
 }
 
 // again ends the watch and begins a new one a little later.
-func (w *Watch) again(why error) {
+func (w *watch) again(why error) {
 	w.broken.Inc()
 	if w.delay == retryFirst { // the first of a row
-		w.Note("watch broken: " + why.Error())
+		w.Note(fmt.Sprintf("watch broken at %s: %v", w.Address, why))
 	}
-	w.Stop()
-	w.timer = w.Loop.After(w.delay, w.Start)
+	w.stop()
+	w.timer = w.Loop.After(w.delay, w.start)
 	w.delay = min(retryMost, 2*w.delay)
 }
 
-// Stop ends the watch.
-func (w *Watch) Stop() {
+// stop ends the watch.
+func (w *watch) stop() {
 	w.Loop.Timers.Stop(w.timer)
 	if w.fd >= 0 {
 		w.Loop.Close(w.fd)
@@ -110,7 +112,7 @@
 }
 
 // Ready handles what the kernel tells of the connection.
-func (w *Watch) Ready(events uint32) {
+func (w *watch) Ready(events uint32) {
 	if !w.up {
 		if err := epoll.Failed(w.fd); err != nil {
 			w.again(err)
@@ -145,7 +147,7 @@
 	}
 }
 
-func (w *Watch) decode(p []byte) error {
+func (w *watch) decode(p []byte) error {
 	_, err := w.dec.Feed(p)
 	switch {
 	case err != nil:
@@ -161,7 +163,7 @@
 }
 
 // take gathers lines and tells what they hold.
-func (w *Watch) take(p []byte) error {
+func (w *watch) take(p []byte) error {
 	if w.dec.Status() != 200 {
 		return fmt.Errorf("status %d", w.dec.Status())
 	}
@@ -185,7 +187,7 @@
 }
 
 // tell hands on one line.
-func (w *Watch) tell(line []byte) error {
+func (w *watch) tell(line []byte) error {
 	if len(line) == 0 {
 		w.empty.Inc()
 		w.answered, w.delay = true, retryFirst
