Turn open ids and misfits away; what an upstream finds faulty counts for nothing

A trace showed 51 answers 400 of upstreams to requests whose ids were open already, each tried three times; every one moved the limit down by a third, counted as not accepted and as a failure of its upstream (tally and judge in balance.go saw an error). Ruled out: descriptors (288 of 384), processor time (0.05 of a core), the parser (all other bad requests got their 4xx at once). Lines at fault: check in downstream/conn.go let open ids and misfits through, answered in upstream.go made an error of any 4xx. With it the time for a first request runs from the connection on (was 15 s from its first byte), and requests sent ahead are worked off in a loop.

--- a/balance/api.go
+++ b/balance/api.go
@@ -100,10 +100,11 @@
 	Reset                 // may have run
 	Cancelled             // may have run
 	Moot                  // was not sent
+	Faulty                // never ran: the request itself is at fault, and its caller was told so
 )
 
 // NeverRan reports whether the outcome proves that the attempt did not run.
-func (o Outcome) NeverRan() bool { return o == Full || o == ConnectFailed || o == Moot }
+func (o Outcome) NeverRan() bool { return o == Full || o == ConnectFailed || o >= Moot }
 
 // EventKind tells what an Event is about.
 type EventKind uint8
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -244,7 +244,7 @@
 
 // tally counts the outcome of an attempt.
 func (b *Balancer) tally(r *request, a *attempt, e *Event) {
-	if e.Outcome == Moot || e.Outcome == Cancelled {
+	if e.Outcome >= Cancelled { // nor does one at fault itself say anything of the fleet
 		return
 	}
 	accept := 0.0
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -1,6 +1,7 @@
 package downstream
 
 import (
+	"bytes"
 	"container/list"
 	"errors"
 	"math"
@@ -26,6 +27,7 @@
 	heard     balance.Millis // when the last byte came, or the connection began to wait
 	dec       *http1.RequestDecoder
 	pending   []byte // read, and not yet of use
+	resuming  bool   // pending is being worked off
 	exchange  *exchange.Exchange
 	unsent    []byte
 	began     balance.Millis // when the request's first byte came
@@ -53,10 +55,13 @@
 	c.heard = c.s.Loop.Now()
 	c.continued = false
 	c.place = c.s.waiting.PushBack(c)
-	if c.over {
+	switch {
+	case c.over:
 		c.timeout(overMost, c.overdue)
-	} else {
-		c.timeout(idleMost, c.close)
+	case !c.answered: // a caller connects to ask: one that does not, or drips its request, must not keep the descriptor
+		c.timeout(requestMost, c.tooSlow)
+	default:
+		c.timeout(idleMost, c.tooSlow)
 	}
 }
 
@@ -110,16 +115,32 @@
 		case n == 0:
 			c.close()
 		default:
-			c.decode(c.s.buf[:n])
+			c.decode(c.s.buf[:n], false)
 		}
 	}
 }
 
-// decode takes bytes of a request. What follows a whole one waits until that is answered.
-func (c *conn) decode(p []byte) {
+// resume works off what was read behind the request that has now been answered: in a loop, since a caller may
+// send hundreds at once, and the answer to each may come before decode returns.
+func (c *conn) resume() {
+	if c.resuming {
+		return
+	}
+	c.resuming = true
+	for len(c.pending) > 0 && c.place != nil {
+		p := c.pending
+		c.pending = nil
+		c.decode(p, true)
+	}
+	c.resuming = false
+}
+
+// decode takes bytes of a request. What follows a whole one waits until that is answered; own says that the
+// bytes are the connection's own and need no copy for that.
+func (c *conn) decode(p []byte, own bool) {
 	if !c.dec.Begun() {
 		c.began = c.s.Loop.Arrived() // a balancer kept from its core must not give the caller's time twice
-		if !c.over {
+		if !c.over && c.answered {   // else the time since it came counts on: dripped bytes must not extend it
 			c.timeout(requestMost, c.tooSlow)
 		}
 	}
@@ -141,7 +162,9 @@
 		c.s.waiting.MoveToBack(c.place)
 		return
 	}
-	c.pending = append([]byte(nil), p[n:]...)
+	if c.pending = p[n:]; !own {
+		c.pending = bytes.Clone(c.pending)
+	}
 	c.unwait()
 	c.s.Loop.Watch(c.fd, epoll.Hup)
 	c.request(c.dec.Request())
@@ -156,7 +179,17 @@
 	c.close()
 }
 
+// tooSlow ends a connection whose time to bring a request is over.
 func (c *conn) tooSlow() {
+	if !c.dec.Begun() {
+		if !epoll.Quiet(c.fd) { // a request has just come
+			c.read()
+			return
+		}
+		c.s.count.silent.Inc()
+		c.close()
+		return
+	}
 	c.s.count.late.Inc()
 	c.reject(408, true)
 }
@@ -184,6 +217,7 @@
 		x.Deadline = c.began + r.Remaining*1000
 		x.Expires = x.Deadline - min(s.Ahead, r.Remaining*1000/10)
 		c.exchange = x
+		s.open[r.Txn] = struct{}{}
 		s.core.Take(x)
 	}
 }
@@ -198,18 +232,27 @@
 	return true
 }
 
-// check finds the class of a request, or the status that answers a malformed one.
+// check finds the class of a request, or the status that answers a malformed one. What is let through must be
+// what an upstream can use: one that can't be is turned away there as well, at the cost of an attempt, and may
+// take the connection with it.
 func (s *Server) check(r *http1.Request, path string) (uint8, int) {
 	if r.Method != "GET" && r.Method != "POST" {
 		return 0, 405
 	}
 	first, _, _ := strings.Cut(path[1:], "/")
 	class, ok := s.classes[r.Lane]
-	switch {
-	case !ok || first != r.Lane, r.Txn == "", math.IsNaN(r.Remaining), r.Remaining < 0 || r.Remaining > 3600:
+	if !ok || first != r.Lane || r.Txn == "" || math.IsNaN(r.Remaining) || r.Remaining < 0 || r.Remaining > 3600 {
 		return 0, 400
-	case s.Effects[class] == balance.Keyed && r.Key == "": // its repeats could not be told apart
+	}
+	safe, keyed := s.Effects[class] == balance.Safe, s.Effects[class] == balance.Keyed
+	_, open := s.open[r.Txn]
+	switch {
+	case safe != (r.Method == "GET"):
+		return 0, 405
+	case safe && len(r.Body) > 0, keyed != (r.Key != ""): // without a key its repeats could not be told apart
 		return 0, 400
+	case open: // another caller's: nobody could tell their attempts apart
+		return 0, 409
 	}
 	return class, 0
 }
@@ -239,17 +282,25 @@
 
 // Answer writes the final answer of the connection's exchange.
 func (c *conn) Answer(x *exchange.Exchange, a exchange.Answer) {
-	c.exchange = nil
-	switch a.Verdict {
-	case exchange.Served:
+	c.forget(x)
+	switch {
+	case a.Verdict == exchange.Served:
 		c.answer(200, 0, false, a.Body)
-	case exchange.Refused:
+	case a.Verdict == exchange.Refused:
 		c.answer(503, a.RetryAfter, false, nil)
+	case a.Fault:
+		c.answer(400, 0, false, nil)
 	default:
 		c.answer(502, 0, false, nil)
 	}
 }
 
+// forget parts the connection from its exchange, which has ended.
+func (c *conn) forget(x *exchange.Exchange) {
+	c.exchange = nil
+	delete(c.s.open, x.Message.(*http1.Request).Txn)
+}
+
 // answer writes an answer. End says that the connection ends with it.
 func (c *conn) answer(status int, retryAfter balance.Millis, end bool, body []byte) {
 	invariant.Check(c.unsent == nil && c.exchange == nil && !c.lingering, "a connection has one answer at a time")
@@ -279,16 +330,13 @@
 	}
 	c.wait()
 	c.s.Loop.Watch(c.fd, epoll.In|epoll.Hup)
-	if p := c.pending; len(p) > 0 {
-		c.pending = nil
-		c.decode(p)
-	}
+	c.resume()
 }
 
 // left tells that the caller has gone without its answer.
 func (c *conn) left() {
 	x := c.exchange
-	c.exchange = nil
+	c.forget(x)
 	c.close()
 	c.s.core.Leave(x)
 }
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -15,20 +15,21 @@
 )
 
 const (
-	idleMost    = 90000.0 // ms that a connection may stand between requests
-	requestMost = 15000.0 // ms for a request to arrive whole
+	idleMost    = 15000.0 // ms that a connection may stand between requests
+	requestMost = 2500.0  // ms for a request to arrive whole, the first one counted from the connection
 	writeMost   = 15000.0 // ms for an answer to be taken
 	lingerMost  = 1000.0  // ms that a connection is read on after its last answer
 	acceptMost  = 256     // connections taken in one go, so that no flood of them stalls the loop
 	pauseAccept = 5.0     // ms until the next go when even the spare descriptors are used
-	readMost    = 4       // buffers read from one connection in one go
-	comeFor     = 500.0   // ms after the end was announced in which new connections still come
-	lastAccept  = 150.0   // ms more in which the listener stays open
-	halfMost    = 1000.0  // ms more for requests that have begun to arrive
-	silentLeast = 1000.0  // ms without a byte, before a connection is shed to make room
-	silentShort = 100.0   // ms between requests, when there is no other way to take more
-	partLeast   = 3000.0  // ms without a byte in the middle of a request
-	overMost    = 1000.0  // ms that a connection on a spare descriptor has for its request
+	readSize    = 16 << 10
+	readMost    = 16     // buffers of that size read from one connection in one go
+	comeFor     = 500.0  // ms after the end was announced in which new connections still come
+	lastAccept  = 150.0  // ms more in which the listener stays open
+	halfMost    = 1000.0 // ms more for requests that have begun to arrive
+	silentLeast = 1000.0 // ms without a byte, before a connection is shed to make room
+	silentShort = 100.0  // ms between requests, when there is no other way to take more
+	partLeast   = 3000.0 // ms without a byte in the middle of a request
+	overMost    = 1000.0 // ms that a connection on a spare descriptor has for its request
 )
 
 // Core takes requests. Answers come back by the exchange.
@@ -56,8 +57,9 @@
 	classes  map[string]uint8
 	fd       int // -1 once the listener is closed
 	conns    map[*conn]struct{}
-	waiting  *list.List // of *conn that owe no answer, the longest silent first
-	over     int        // connections beyond the table
+	open     map[string]struct{} // ids of the requests that are owed an answer
+	waiting  *list.List          // of *conn that owe no answer, the longest silent first
+	over     int                 // connections beyond the table
 	side     *epoll.Side
 	draining bool
 	buf      []byte
@@ -65,22 +67,23 @@
 }
 
 type counters struct {
-	accepted, requests, ready, bad, shed, overflow, pauses, resets, late *counter.Counter
-	status                                                               map[int]*counter.Counter
+	accepted, requests, ready, bad, shed, overflow, pauses, resets, late, silent *counter.Counter
+	status                                                                       map[int]*counter.Counter
 }
 
 // NewServer returns a server that does not listen yet.
 func NewServer(o Options) *Server {
 	s := &Server{Options: o, classes: map[string]uint8{}, fd: -1, conns: map[*conn]struct{}{},
-		waiting: list.New(), buf: make([]byte, 64<<10)}
+		open: map[string]struct{}{}, waiting: list.New(), buf: make([]byte, readSize)}
 	for i, name := range o.Classes {
 		s.classes[name] = uint8(i)
 	}
 	n := o.Counters.New
 	s.count = counters{accepted: n("down_accepted"), requests: n("down_requests"), ready: n("ready_asked"),
 		bad: n("bad_requests"), shed: n("down_shed"), overflow: n("down_overflow_refused"),
-		pauses: n("down_accept_pauses"), resets: n("down_broken"), late: n("down_timed_out"), status: map[int]*counter.Counter{}}
-	for _, status := range [...]int{200, 400, 404, 405, 408, 413, 417, 431, 501, 502, 503, 505} {
+		pauses: n("down_accept_pauses"), resets: n("down_broken"), late: n("down_timed_out"),
+		silent: n("down_closed_silent"), status: map[int]*counter.Counter{}}
+	for _, status := range [...]int{200, 400, 404, 405, 408, 409, 413, 417, 431, 501, 502, 503, 505} {
 		s.count.status[status] = n(fmt.Sprintf("answers_%d", status))
 	}
 	o.Counters.Reading("down_open", func() uint64 { return uint64(len(s.conns)) })
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -151,6 +152,7 @@
 		{exchange.Answer{Verdict: exchange.Refused}, 503, ""},
 		{exchange.Answer{Verdict: exchange.Refused, RetryAfter: 250}, 503, "0.250"},
 		{exchange.Answer{Verdict: exchange.Failed}, 502, ""},
+		{exchange.Answer{Verdict: exchange.Failed, Fault: true}, 400, ""},
 	} {
 		c.send(get("1"))
 		x := r.next()
@@ -211,8 +213,14 @@
 		{"no id", strings.ReplaceAll(get("1"), "X-Txn", "X-Other"), 400, false},
 		{"no time", strings.ReplaceAll(get("1"), "X-Remaining", "X-Other"), 400, false},
 		{"time not a number", strings.ReplaceAll(get("1"), "g: 2", "g: soon"), 400, true},
-		{"time below nought", strings.ReplaceAll(get("1"), "g: 2", "g: -1"), 400, false},
+		{"time below nought", strings.ReplaceAll(get("1"), "g: 2", "g: -1"), 400, true},
 		{"keyed without key", strings.Replace(post, "Idempotency-Key", "X-Other", 1) + "\r\n", 400, false},
+		{"safe with a body", strings.Replace(get("1"), "Host: x", "Content-Length: 1", 1) + "x", 400, false},
+		{"safe with a key", strings.Replace(get("1"), "Host: x", "Idempotency-Key: k", 1), 400, false},
+		{"safe as POST", strings.Replace(get("1"), "GET", "POST", 1), 405, false},
+		{"keyed as GET", strings.Replace(post, "POST", "GET", 1) + "\r\n", 405, false},
+		{"unsafe as GET", strings.ReplaceAll(get("1"), "read", "pay"), 405, false},
+		{"unsafe with a key", strings.ReplaceAll(post, "keep", "pay") + "\r\n", 400, false},
 		{"method", strings.Replace(get("1"), "GET", "DELETE", 1), 405, false},
 		{"unknown own page", "GET /-/other HTTP/1.1\r\n\r\n", 404, false},
 		{"unknown expectation", post + "Expect: miracles\r\n\r\n", 417, true},
@@ -351,8 +359,8 @@
 			e.Value.(*conn).heard -= silentLeast
 		}
 	})
-	for range 2 { // for the first a place is free
-		r.dial().send(get("8"))
+	for _, txn := range []string{"8", "9"} { // for the first a place is free
+		r.dial().send(get(txn))
 		r.next()
 	}
 	if n := r.Counted("down_shed"); n != 1 {
@@ -424,16 +432,119 @@
 	}
 }
 
+// A caller that says nothing, or drips the head of its request, has no longer than one that asks at once: the
+// time runs from the connection on, and no byte extends it.
 func TestRequestTooSlow(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		pieces []string
+		status int // 0 for a close
+	}{
+		{"silent", nil, 0},
+		{"half a head", []string{get("1")[:40]}, 408},
+		{"dripped", []string{get("1")[:10], get("1")[10:20], get("1")[20:40]}, 408},
+		{"half a body", []string{"POST /pay HTTP/1.1\r\nX-Txn: 1\r\nX-Lane: pay\r\nX-Remaining: 1\r\nContent-Length: 9\r\n\r\nab"}, 408},
+	} {
+		r := newRig(t, 64, 4)
+		c := r.dial()
+		r.WaitFor("down_accepted", 1)
+		var first, last float64
+		r.Do(func() { first, _ = r.Loop.Timers.Next() })
+		for _, p := range tt.pieces {
+			before := r.heard()
+			c.send(p)
+			for r.heard() == before {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		r.Do(func() { last, _ = r.Loop.Timers.Next() })
+		if first != last {
+			t.Errorf("%s: its time was put off by %.1f ms", tt.name, last-first)
+		}
+		r.Pass(requestMost + 1)
+		if tt.status > 0 {
+			if a, _ := c.answer(); a.StatusCode != tt.status {
+				t.Errorf("%s: status %d", tt.name, a.StatusCode)
+			}
+		}
+		c.atEnd()
+		if silent, late := r.Counted("down_closed_silent"), r.Counted("down_timed_out"); silent+late != 1 || (late == 1) != (tt.status > 0) {
+			t.Errorf("%s: %d silent and %d late are counted", tt.name, silent, late)
+		}
+	}
+}
+
+// heard is when the only connection brought its last byte.
+func (r *rig) heard() (at float64) {
+	r.Do(func() { at = r.s.waiting.Front().Value.(*conn).heard })
+	return at
+}
+
+// A request with the id of one that is open is not taken: nobody could tell the attempts of the two apart, and
+// the upstreams would turn it away. Once the first has its answer, or has left, the id is free.
+func TestOpenID(t *testing.T) {
+	r := newRig(t, 64, 4)
+	first, other := r.dial(), r.dial()
+	first.send(get("1"))
+	x := r.next()
+	for range 3 {
+		other.send(get("1"))
+		if a, _ := other.answer(); a.StatusCode != 409 || a.Close {
+			t.Errorf("status %d, ends %v", a.StatusCode, a.Close)
+		}
+	}
+	r.serve(x, "one")
+	if _, got := first.answer(); got != "one" {
+		t.Errorf("the first got %q", got)
+	}
+	other.send(get("1"))
+	r.next()
+	other.Close()
+	<-r.gone
+	first.send(get("1"))
+	r.serve(r.next(), "again")
+	if _, got := first.answer(); got != "again" {
+		t.Errorf("after it had left: %q", got)
+	}
+	r.Do(func() {
+		if len(r.s.open) != 0 {
+			t.Errorf("%d ids are kept", len(r.s.open))
+		}
+	})
+}
+
+// Hundreds of requests sent at once are worked off one after the other, not one inside the other: the stack
+// would grow with what a caller sends.
+func TestHundredsAtOnce(t *testing.T) {
 	r := newRig(t, 64, 4)
 	c := r.dial()
-	c.send(get("1")[:40])
-	r.WaitFor("down_accepted", 1)
-	r.Pass(requestMost + 1)
-	if a, _ := c.answer(); a.StatusCode != 408 {
-		t.Errorf("status %d", a.StatusCode)
+	const many = 400
+	depth := make(chan int, 1)
+	r.s.Serve(depthCore{r, depth})
+	c.send(strings.Repeat(strings.ReplaceAll(get("1"), "read", "none"), many) + get("2"))
+	for range many {
+		if a, _ := c.answer(); a.StatusCode != 400 {
+			t.Fatalf("status %d", a.StatusCode)
+		}
 	}
-	c.atEnd()
+	r.serve(r.next(), "ok")
+	if _, got := c.answer(); got != "ok" {
+		t.Errorf("answer %q", got)
+	}
+	if n := <-depth; n > 40 {
+		t.Errorf("the last is taken %d calls deep", n)
+	}
+}
+
+// depthCore tells how deep in calls a request is taken.
+type depthCore struct {
+	*rig
+	depth chan int
+}
+
+func (d depthCore) Take(x *exchange.Exchange) {
+	d.depth <- runtime.Callers(0, make([]uintptr, 4096))
+	d.rig.Take(x)
 }
 
 func TestEndsWithTheRequestsWish(t *testing.T) {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -41,12 +41,12 @@
 	taken, served, refused, failed, left *counter.Counter
 	late                                 *counter.Counter // answers after the caller gave up
 	sends, retries, cancels, lists       *counter.Counter
-	ends                                 [balance.Moot + 1]*counter.Counter
+	ends                                 [balance.Faulty + 1]*counter.Counter
 }
 
 var outcomes = [...]string{balance.OK: "ok", balance.Errored: "error", balance.Full: "full",
 	balance.TimedOut: "timed_out", balance.ConnectFailed: "connect_failed", balance.Reset: "reset",
-	balance.Cancelled: "cancelled", balance.Moot: "moot"}
+	balance.Cancelled: "cancelled", balance.Moot: "moot", balance.Faulty: "faulty"}
 
 // effect is what the rules say of a class.
 type effect struct {
@@ -126,8 +126,11 @@
 	d.timers.Stop(d.timeouts[a])
 	delete(d.timeouts, a)
 	d.counters.ends[r.Outcome].Inc()
-	if r.Outcome == balance.OK { // the first whole answer goes to the caller, whatever the module thinks
+	switch r.Outcome { // a whole answer to the request goes to the caller, whatever the module thinks
+	case balance.OK:
 		d.finish(x, exchange.Answer{Verdict: exchange.Served, Body: r.Body})
+	case balance.Faulty:
+		d.finish(x, exchange.Answer{Verdict: exchange.Failed, Fault: true})
 	}
 	d.handle(&balance.Event{Kind: balance.EventOutcome, Request: x.ID, Attempt: a.Number, Upstream: a.Upstream,
 		Outcome: r.Outcome, Spent: d.now() - a.Sent, Done: x.Verdict() != exchange.Open,
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -190,6 +190,33 @@
 	}
 }
 
+// A request that an upstream finds at fault is failed at once, as such: it is not tried elsewhere, nor held against
+// the upstream. (Three upstreams in turn were asked, and left out when they said the same to others.)
+func TestFaultyRequest(t *testing.T) {
+	r := newRig(t, config())
+	for range 20 { // the least that a retry and the formula want
+		r.take(0, 1000)
+		r.end(r.out[0], balance.OK, "")
+	}
+	for range 30 {
+		x := r.take(0, 1000)
+		r.end(r.out[0], balance.Faulty, "")
+		if a := r.answers[x]; len(a) != 1 || a[0].Verdict != exchange.Failed || !a[0].Fault || len(r.out) != 0 {
+			t.Fatalf("%+v, %d out", a, len(r.out))
+		}
+	}
+	for range 20 {
+		x := r.take(1, 1000)
+		if len(r.out) != 1 {
+			t.Fatalf("the next was not sent: %+v", r.answers[x])
+		}
+		r.end(r.out[0], balance.OK, "")
+	}
+	if r.value("ended_faulty") != 30 || r.value("attempts_again") != 0 || r.value("refused") != 0 {
+		t.Errorf("%d faulty, %d sent again, %d refused", r.value("ended_faulty"), r.value("attempts_again"), r.value("refused"))
+	}
+}
+
 // Whatever happens in whatever order, each request gets one answer or has left, nothing is remembered after,
 // and the counters add up at any moment.
 func TestCountersAddUp(t *testing.T) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -24,6 +24,7 @@
 	Verdict    Verdict
 	Body       []byte         // of a served one: what an upstream made for this request
 	RetryAfter balance.Millis // of a refused one: when to come back, 0 for no advice
+	Fault      bool           // of a failed one: the request itself is at fault
 }
 
 // Caller is where a request came from. It is told the final answer, once, unless it has left.
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -73,7 +73,7 @@
 			return bad("malformed method")
 		}
 	}
-	if bytes.IndexByte(target, '\t') >= 0 {
+	if !ascii(target, '!') {
 		return bad("malformed target")
 	}
 	var ok bool
@@ -87,13 +87,17 @@
 func (d *RequestDecoder) field(name, value []byte) error {
 	r := &d.req
 	for _, f := range [...]struct {
-		name string
-		into *string
-	}{{"X-Txn", &r.Txn}, {"X-Lane", &r.Lane}, {"Idempotency-Key", &r.Key}, {"X-Labels", &r.Labels}} {
+		name  string
+		into  *string
+		least byte
+	}{{"X-Txn", &r.Txn, '!'}, {"X-Lane", &r.Lane, '!'}, {"Idempotency-Key", &r.Key, '!'}, {"X-Labels", &r.Labels, ' '}} {
 		if is(name, f.name) {
 			if *f.into != "" && *f.into != string(value) {
 				return bad("%s given twice", f.name)
 			}
+			if !ascii(value, f.least) { // it goes on to an upstream, or is compared with what does
+				return bad("malformed %s", f.name)
+			}
 			*f.into = string(value)
 			return nil
 		}
@@ -101,7 +105,7 @@
 	switch {
 	case is(name, "X-Remaining"):
 		s, err := strconv.ParseFloat(string(value), 64)
-		if err != nil || math.IsNaN(s) || math.IsInf(s, 0) {
+		if err != nil || !decimal(value) || r.Remaining == r.Remaining && r.Remaining != s {
 			return bad("malformed X-Remaining")
 		}
 		r.Remaining = s
@@ -118,6 +122,26 @@
 	return nil
 }
 
+// ascii reports whether all bytes are ASCII from the given one on, and no control characters.
+func ascii(p []byte, least byte) bool {
+	for _, c := range p {
+		if c < least || c >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// decimal reports whether p holds digits and points only: no sign, exponent, hexadecimal digit or word.
+func decimal(p []byte) bool {
+	for _, c := range p {
+		if c != '.' && (c < '0' || c > '9') {
+			return false
+		}
+	}
+	return true
+}
+
 func (d *RequestDecoder) framing(f *frame) (state, error) {
 	switch {
 	case f.chunked:
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -326,6 +326,8 @@
 		result.Outcome, result.Body = balance.OK, r.Body
 	case (r.Status == 503 || r.Status == 504) && r.TurnedAway:
 		result.Outcome = balance.Full
+	case faulty(r.Status):
+		result.Outcome = balance.Faulty
 	}
 	if c.pool.reports {
 		result.Held, result.Reported = http1.Figure(r.Pressure, "inflight")
@@ -339,6 +341,17 @@
 	c.pool.listener.Ended(a, result)
 }
 
+// faulty reports whether a status finds the request itself at fault: it would be everywhere, and says nothing of
+// the upstream. (An id that is open at another balancer got 400 from three upstreams in a row, and they were left
+// out for it.) The 4xx that speak of the time or the load are not among them.
+func faulty(status int) bool {
+	switch status {
+	case 408, 421, 425, 429:
+		return false
+	}
+	return status >= 400 && status < 500
+}
+
 // rest makes the connection idle.
 func (c *conn) rest() {
 	c.dec.Reset()
