--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -30,7 +30,7 @@
 	resuming  bool   // pending is being worked off
 	exchange  *exchange.Exchange
 	unsent    []byte
-	began     balance.Millis // when the request's first byte came
+	came      balance.Millis // when the bytes that are decoded came
 	continued bool           // leave to send the body was given
 	last      bool           // the connection ends with the present answer
 	lingering bool
@@ -115,6 +115,7 @@
 		case n == 0:
 			c.close()
 		default:
+			c.came = c.s.Loop.Arrived() // a balancer kept from its core must not give the caller's time twice
 			c.decode(c.s.buf[:n], false)
 		}
 	}
@@ -138,11 +139,8 @@
 // decode takes bytes of a request. What follows a whole one waits until that is answered; own says that the
 // bytes are the connection's own and need no copy for that.
 func (c *conn) decode(p []byte, own bool) {
-	if !c.dec.Begun() {
-		c.began = c.s.Loop.Arrived() // a balancer kept from its core must not give the caller's time twice
-		if !c.over && c.answered {   // else the time since it came counts on: dripped bytes must not extend it
-			c.timeout(requestMost, c.tooSlow)
-		}
+	if !c.dec.Begun() && !c.over && c.answered { // else the time since it came counts on: no byte must extend it
+		c.timeout(requestMost, c.tooSlow)
 	}
 	n, err := c.dec.Feed(p)
 	if err != nil {
@@ -214,7 +212,7 @@
 	default:
 		x := exchange.New(c, &r)
 		x.Class, x.Resent = class, r.Resent
-		x.Deadline = c.began + r.Remaining*1000
+		x.Deadline = c.came + r.Remaining*1000 // a request's time counts from its last byte, however slowly it came
 		x.Expires = x.Deadline - min(s.Ahead, r.Remaining*1000/10)
 		c.exchange = x
 		s.open[r.Txn] = struct{}{}
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -19,10 +19,14 @@
 // passed over.
 type ResponseDecoder struct {
 	decoder
-	resp Response
-	conn persistence
+	resp    Response
+	conn    persistence
+	interim int // of the answer that is awaited
 }
 
+// interimMost bounds the interim answers before one that counts: a peer may send them without end.
+const interimMost = 16
+
 // NewResponseDecoder returns a decoder ready for its first answer. If sink is not nil it takes the body as
 // it comes, without limit.
 func NewResponseDecoder(sink func([]byte) error) *ResponseDecoder {
@@ -34,6 +38,12 @@
 
 // Reset makes the decoder ready for the next answer.
 func (d *ResponseDecoder) Reset() {
+	d.interim = 0
+	d.next()
+}
+
+// next makes the decoder ready for what follows an interim answer.
+func (d *ResponseDecoder) next() {
 	d.decoder.reset()
 	d.resp, d.conn = Response{}, persistence{}
 }
@@ -47,7 +57,10 @@
 		if total += n; err != nil || !d.Done() || d.resp.Status >= 200 {
 			return total, err
 		}
-		d.Reset()
+		if d.interim++; d.interim > interimMost {
+			return total, bad("too many interim answers")
+		}
+		d.next()
 	}
 }
 
@@ -63,7 +76,7 @@
 func (d *ResponseDecoder) Done() bool { return d.state == inDone }
 
 // Begun reports whether a part of an answer has come.
-func (d *ResponseDecoder) Begun() bool { return d.begun() }
+func (d *ResponseDecoder) Begun() bool { return d.begun() || d.interim > 0 }
 
 // Status is that of the answer whose start line has come, 0 before.
 func (d *ResponseDecoder) Status() int { return d.resp.Status }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -20,6 +20,11 @@
 // answer: a request that crosses its close ends as a reset, and may not be repeated where it is unsafe.
 const idleShare = 0.9
 
+// settleFor is how many ms a connection rests after an answer before it is used again. Some upstreams send more than
+// belongs to an answer, a second copy say, right behind it: what comes while nothing is owed closes the connection,
+// while behind a request it would be taken for the answer to that. An idle connection more for each upstream is the price.
+const settleFor = 2.0
+
 // readMost is how many buffers one turn reads from one connection: a peer that sends without end must not
 // keep the others waiting.
 const readMost = 4
@@ -133,8 +138,11 @@
 		p.listener.Ended(a, exchange.Result{Outcome: balance.ConnectFailed})
 		return
 	}
-	for len(t.idle) > 0 {
-		c := t.idle[len(t.idle)-1]
+	for i := len(t.idle) - 1; i >= 0; i-- {
+		c := t.idle[i]
+		if p.loop.Now()-c.rested < settleFor {
+			continue
+		}
 		if epoll.Quiet(c.fd) {
 			p.count.reused.Inc()
 			c.leaveIdle()
@@ -212,6 +220,7 @@
 	unsent     []byte       // of the request
 	timer      *timer.Timer // connect time-out, or the end of idleness
 	place      *list.Element
+	rested     balance.Millis // when it became idle
 	closed     bool
 }
 
@@ -355,6 +364,7 @@
 // rest makes the connection idle.
 func (c *conn) rest() {
 	c.dec.Reset()
+	c.rested = c.pool.loop.Now()
 	c.place = c.pool.idle.PushBack(c)
 	c.target.idle = append(c.target.idle, c)
 	c.timer = c.pool.loop.After(c.pool.keep, func() {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -73,6 +73,15 @@
 	return exchange.Result{}
 }
 
+// settle makes the idle connections ones that have rested, as if the time had passed.
+func (r *rig) settle() {
+	r.Do(func() {
+		for e := r.p.idle.Front(); e != nil; e = e.Next() {
+			e.Value.(*conn).rested -= settleFor
+		}
+	})
+}
+
 // peer plays the upstream.
 type peer struct {
 	*epolltest.Listener
@@ -144,6 +153,11 @@
 		{"cut in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", shut, balance.Reset, "", false},
 		{"cut before the last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", shut, balance.Reset, "", false},
 		{"malformed", "nonsense\r\n\r\n", keep, balance.Reset, "", false},
+		{"interim answers without end", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 40), keep, balance.Reset, "", false},
+		{"a head without end", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("p", 20000), keep, balance.Reset, "", false},
+		{"a length of 3 GB", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nabc", keep, balance.Reset, "", false},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nabc", keep, balance.Reset, "", false},
+		{"length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", keep, balance.Reset, "", false},
 		{"too large", "HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n", keep, balance.Reset, "", false},
 	}
 	for _, tt := range tests {
@@ -173,6 +187,7 @@
 		if !tt.reused {
 			continue
 		}
+		r.settle()
 		b := r.start("again")
 		c.request()
 		io.WriteString(c, tt.answer)
@@ -182,6 +197,43 @@
 	}
 }
 
+// More than belongs to an answer may come right behind it, a second copy say. It must not meet the next request, to
+// which it would be the answer: a connection is not used again at once, and what comes meanwhile closes it.
+func TestSurplusAnswersNothing(t *testing.T) {
+	r := newRig(t, 64)
+	p := newPeer(t, r)
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold"
+	a := r.start("x")
+	first := p.accept()
+	first.request()
+	io.WriteString(first, answer)
+	r.end(a)
+	b := r.start("y") // at once, as a held request is
+	second := p.accept()
+	second.request()
+	io.WriteString(first, answer) // the copy comes now
+	r.WaitFor("up_closed_by_peer", 1)
+	io.WriteString(second, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew")
+	if got := r.end(b); got.Outcome != balance.OK || string(got.Body) != "new" {
+		t.Errorf("outcome %v, body %q", got.Outcome, got.Body)
+	}
+	for _, surplus := range []string{answer, "noise", "HTTP/1.1 100 Continue\r\n\r\n"} { // in one piece with the answer
+		r.settle()
+		a := r.start("z")
+		c := second
+		c.request()
+		io.WriteString(c, answer+surplus)
+		if got := r.end(a); got.Outcome != balance.OK || string(got.Body) != "old" || r.Counted("up_open") != 0 {
+			t.Errorf("%q: outcome %v, body %q, %d kept", surplus, got.Outcome, got.Body, r.Counted("up_open"))
+		}
+		a = r.start("z")
+		second = p.accept()
+		second.request()
+		io.WriteString(second, answer)
+		r.end(a)
+	}
+}
+
 func TestLoadReport(t *testing.T) {
 	r := newRig(t, 64)
 	p := newPeer(t, r)
