A new id at an old address ends the old one; a gone upstream keeps its zone

Seen while reading for what is believed of load: onOutcome counts what ends out of the zone that the upstream has now, and applyList in state.go took the zone of a Gone entry, which need not tell one: a group kept attempts in flight for ever and the other went below nought (test: 1 and -1). Discovery's book took two ids at one address for two upstreams, so that sends under the old id reached the new, cold process.

A caller that sends hundreds of requests at once now takes turns with the others: read in downstream/conn.go worked off 256 KiB of them in one turn of the loop.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -377,6 +377,24 @@
 	u.inflight--
 }
 
+// News that an upstream is gone need not tell its zone: what is in flight there was counted in its group, and is
+// taken out of that one when it ends. Counted out of another, a group seemed to be in use for ever.
+func TestGoneWithoutAZone(t *testing.T) {
+	cfg := testConfig()
+	f := settled(t, cfg, 8)
+	q := f.submit(0, 1000)
+	if len(q.tries) != 1 {
+		t.Fatal("not sent")
+	}
+	f.list(false, Entry{ID: q.tries[0].up, State: Gone, Zone: cfg.Zone + 1})
+	f.end(q, 0, OK)
+	for g := range f.b.zones {
+		if n := f.b.zones[g].inflight; n != 0 {
+			t.Errorf("group %d has %d in flight", g, n)
+		}
+	}
+}
+
 func TestRestartedUpstreamIsNew(t *testing.T) {
 	f := settled(t, testConfig(), 4)
 	u := f.b.list[0]
--- a/balance/state.go
+++ b/balance/state.go
@@ -269,7 +269,10 @@
 	for _, e := range list {
 		u := b.ups[e.ID]
 		switch {
-		case u == nil && e.State == Gone:
+		case e.State == Gone: // its zone may not be told: what is in flight there stays counted where it was
+			if u != nil {
+				u.State = Gone
+			}
 			continue
 		case u == nil:
 			u = &upstream{id: e.ID, place: mix(e.ID), heldAt: math.Inf(-1), tokens: b.rng.Float64()}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -16,7 +16,11 @@
 )
 
 func member(id, phase string) string {
-	return fmt.Sprintf(`{"id":%q,"host_port":"127.0.0.1:80","locality":"b","flavor":"m2","cell":3,"phase":%q,"size":1.0,"up_since_ms":1000}`, id, phase)
+	return memberAt(id, phase, "127.0.0.1:80", 1000)
+}
+
+func memberAt(id, phase, at string, started int) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"b","flavor":"m2","cell":3,"phase":%q,"size":1.0,"up_since_ms":%d}`, id, at, phase, started)
 }
 
 func update(revision int, complete bool, members ...string) string {
@@ -59,7 +63,8 @@
 
 func TestBook(t *testing.T) {
 	b, p := NewBook([]string{"a", "b"}), places{}
-	first := enter(t, b, p, update(1, true, member("s-1", "in_service"), member("s-2", "in_service"), member("s-3", "in_service")))
+	first := enter(t, b, p, update(1, true, memberAt("s-1", "in_service", "127.0.0.1:78", 1000), member("s-2", "in_service"),
+		memberAt("s-3", "in_service", "127.0.0.1:79", 1000)))
 	if len(first) != 3 || first[0].Zone != 1 || first[0].Cell != 3 || first[0].State != balance.Ready || first[0].Started != 1000 || len(p) != 3 {
 		t.Errorf("%+v, %d places", first, len(p))
 	}
@@ -72,7 +77,7 @@
 		t.Errorf("places %v after a whole list", p)
 	}
 	// Another copy, told in another order, numbers alike: the module wants all to order upstreams alike.
-	other := enter(t, NewBook(nil), places{}, update(1, true, member("s-3", "in_service"), member("s-1", "in_service")))
+	other := enter(t, NewBook(nil), places{}, update(1, true, member("s-3", "in_service"), memberAt("s-1", "in_service", "127.0.0.1:78", 1)))
 	if other[0].ID != first[2].ID || other[1].ID != first[0].ID {
 		t.Errorf("copies number upstreams unlike: %v %v", other, first)
 	}
@@ -90,6 +95,40 @@
 	}
 }
 
+// A new id at an old address is another process, which is cold: what is sent under the old id would reach it, so
+// that one is gone, told or not, in whatever order the two are told.
+func TestNewIDAtAnOldAddress(t *testing.T) {
+	const at, elsewhere = "127.0.0.1:80", "127.0.0.1:81"
+	for _, tt := range []struct {
+		name string
+		told []string
+	}{
+		{"a change", []string{update(1, true, memberAt("old", "in_service", at, 1000)), update(2, false, memberAt("new", "in_service", at, 5000))}},
+		{"the old one drains", []string{update(1, true, memberAt("old", "terminating", at, 1000)), update(2, false, memberAt("new", "in_service", at, 5000))}},
+		{"one list, the new one last", []string{update(1, true, memberAt("old", "in_service", at, 1000), memberAt("new", "in_service", at, 5000))}},
+		{"one list, the old one last", []string{update(1, true, memberAt("new", "in_service", at, 5000), memberAt("old", "in_service", at, 1000))}},
+		{"the old one told again", []string{update(1, true, memberAt("new", "in_service", at, 5000)), update(2, false, memberAt("old", "terminating", at, 1000))}},
+	} {
+		b, p := NewBook(nil), places{}
+		state := map[balance.UpstreamID]balance.State{}
+		for _, text := range tt.told {
+			for _, e := range enter(t, b, p, text) {
+				state[e.ID] = e.State
+			}
+		}
+		if id := b.ids["new"]; len(p) != 1 || state[id] != balance.Ready || p[id].String() != at || len(b.known) != 1 {
+			t.Errorf("%s: places %v, states %v, %d known", tt.name, p, state, len(b.known))
+		}
+	}
+	b, p := NewBook(nil), places{} // one that has moved away has left its address to others
+	enter(t, b, p, update(1, true, memberAt("moved", "in_service", at, 5000)))
+	enter(t, b, p, update(2, false, memberAt("moved", "in_service", elsewhere, 5000)))
+	enter(t, b, p, update(3, false, memberAt("new", "in_service", at, 1000)))
+	if len(p) != 2 || p[b.ids["new"]].String() != at || p[b.ids["moved"]].String() != elsewhere {
+		t.Errorf("places %v after a move", p)
+	}
+}
+
 // agent plays discovery.
 type agent struct {
 	*epolltest.Listener
@@ -292,7 +331,7 @@
 		}
 	}
 	enter(t, b, p, update(1001, true, member("s-last", "in_service")))
-	if len(b.ids) != 1 || len(b.names) != 1 || len(p) != 1 {
-		t.Errorf("knows %d ids, %d numbers, %d places of one upstream", len(b.ids), len(b.names), len(p))
+	if len(b.ids) != 1 || len(b.known) != 1 || len(b.at) != 1 || len(p) != 1 {
+		t.Errorf("knows %d ids, %d numbers, %d places of one upstream", len(b.ids), len(b.known), len(p))
 	}
 }
--- a/internal/discovery/members.go
+++ b/internal/discovery/members.go
@@ -63,12 +63,21 @@
 type Book struct {
 	zones []string
 	ids   map[string]balance.UpstreamID // of those in the list, by the last news
-	names map[balance.UpstreamID]string
+	known map[balance.UpstreamID]known
+	at    map[netip.AddrPort]balance.UpstreamID // who listens there
+}
+
+// known is what was last told of an upstream.
+type known struct {
+	name    string
+	addr    netip.AddrPort
+	started float64
 }
 
 // NewBook returns an empty book. Zones are the names of the zones in the order of their numbers.
 func NewBook(zones []string) *Book {
-	return &Book{zones: slices.Clone(zones), ids: map[string]balance.UpstreamID{}, names: map[balance.UpstreamID]string{}}
+	return &Book{zones: slices.Clone(zones), ids: map[string]balance.UpstreamID{}, known: map[balance.UpstreamID]known{},
+		at: map[netip.AddrPort]balance.UpstreamID{}}
 }
 
 // Places is told where upstreams listen.
@@ -90,10 +99,24 @@
 			b.remove(id, p)
 			continue
 		}
-		listed[id] = true
+		if other, ok := b.at[m.addr]; ok && other != id {
+			// Two ids at one address are two processes, of which the later has the place of the other: what is sent
+			// under the old id would reach the new one, which is cold.
+			if b.known[other].started > m.Started {
+				entries[len(entries)-1].State = balance.Gone
+				b.remove(id, p)
+				continue
+			}
+			entries = append(entries, balance.Entry{ID: other, State: balance.Gone})
+			b.remove(other, p)
+		}
+		if was := b.known[id].addr; was != m.addr && b.at[was] == id {
+			delete(b.at, was)
+		}
+		listed[id], b.at[m.addr], b.known[id] = true, id, known{m.ID, m.addr, m.Started}
 		p.Place(id, m.addr, m.Started)
 	}
-	for id := range b.names {
+	for id := range b.known {
 		if u.Complete && !listed[id] {
 			b.remove(id, p)
 		}
@@ -104,8 +127,12 @@
 // remove forgets an upstream that is gone. Should its id come back, its number is the same again.
 func (b *Book) remove(id balance.UpstreamID, p Places) {
 	p.Remove(id)
-	delete(b.ids, b.names[id])
-	delete(b.names, id)
+	k := b.known[id]
+	if b.at[k.addr] == id {
+		delete(b.at, k.addr)
+	}
+	delete(b.ids, k.name)
+	delete(b.known, id)
 }
 
 // id numbers an upstream. The number is made from its name alone, since the module wants copies to order
@@ -117,10 +144,10 @@
 	h := fnv.New32a()
 	h.Write([]byte(name))
 	id := balance.UpstreamID(h.Sum32())
-	for b.names[id] != "" {
+	for b.known[id].name != "" {
 		id++
 	}
-	b.ids[name], b.names[id] = id, name
+	b.ids[name], b.known[id] = id, known{name: name}
 	return id
 }
 
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -24,6 +24,7 @@
 	fd        int
 	over      bool           // beyond the table: it is told to go elsewhere
 	answered  bool           // a request before
+	asked     int            // whole requests that it has brought
 	heard     balance.Millis // when the last byte came, or the connection began to wait
 	dec       *http1.RequestDecoder
 	pending   []byte // read, and not yet of use
@@ -103,9 +104,10 @@
 	}
 }
 
-// read takes in what has come, until a request is whole.
+// read takes in what has come, until a request is whole. Even one that is answered at once ends the turn of a
+// caller who has sent hundreds: the others must not wait for all of them.
 func (c *conn) read() {
-	for i := 0; i < readMost && c.place != nil; i++ {
+	for i, asked := 0, c.asked; i < readMost && c.place != nil && c.asked == asked; i++ {
 		n, err := epoll.Read(c.fd, c.s.buf)
 		switch {
 		case err == unix.EAGAIN:
@@ -195,6 +197,7 @@
 // request handles a whole request.
 func (c *conn) request(r http1.Request) {
 	s := c.s
+	c.asked++
 	c.last = r.Close
 	path, _, _ := strings.Cut(r.Target, "?")
 	if strings.HasPrefix(path, "/-/") {
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"salttrack/balance"
 	"salttrack/internal/epoll"
 	"salttrack/internal/epoll/epolltest"
@@ -542,7 +544,7 @@
 	c := r.dial()
 	const many = 400
 	depth := make(chan int, 1)
-	r.s.Serve(depthCore{r, depth})
+	r.Do(func() { r.s.Serve(depthCore{r, depth}) })
 	c.send(strings.Repeat(strings.ReplaceAll(get("1"), "read", "none"), many) + get("2"))
 	for range many {
 		if a, _ := c.answer(); a.StatusCode != 400 {
@@ -558,6 +560,31 @@
 	}
 }
 
+// A caller that sends hundreds at once takes turns with the others: one read of them in a turn of the loop.
+func TestFloodTakesTurns(t *testing.T) {
+	r := newRig(t, 64, 4)
+	c := r.dial()
+	c.send(get("1"))
+	x := r.next()
+	bad := strings.ReplaceAll(get("1"), "read", "none")
+	c.send(strings.Repeat(bad, 4*readSize/len(bad)))
+	var before, after uint64
+	r.Do(func() {
+		x.Finish(exchange.Answer{Verdict: exchange.Served})
+		for fd := range r.s.conns { // until all of it is there, and then a turn
+			for n := 0; n < 2*readSize; {
+				n, _ = unix.IoctlGetInt(fd.fd, unix.TIOCINQ)
+			}
+			before, _ = r.Count.Value("bad_requests")
+			fd.read()
+			after, _ = r.Count.Value("bad_requests")
+		}
+	})
+	if n := int(after - before); n == 0 || n > readSize/len(bad)+1 {
+		t.Errorf("%d requests were handled in one go, want those of one read at most", n)
+	}
+}
+
 // depthCore tells how deep in calls a request is taken.
 type depthCore struct {
 	*rig
