A request is held no longer than it could still be served; a rest of half a millisecond

The operators ask that a wait be only for room that can still serve. hold in balance.go bounded it by the aim and by half of the time left; a call with little time left waited for room of no use to it. It now also ends where less is left than half of what its class usually takes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -360,12 +360,12 @@
 	b.queue[i] = r
 	r.held = true
 	if last := b.queue[len(b.queue)-1]; float64(len(b.queue)) > b.capacity() {
-		b.refuse(last)
-		if last == r {
+		if b.refuse(last); last == r {
 			return
 		}
 	}
-	wait := min(b.cfg.Classes[r.class].Aim*holdShare, (r.expires-b.now)/2)
+	aim, usual := b.cfg.Classes[r.class].Aim, b.usual[r.class].value
+	wait := max(0, min(aim*holdShare, (r.expires-b.now)/2, r.until-usual/2-b.now)) // to be served still
 	b.act(Action{Kind: ActTimer, After: wait, Cookie: uint64(r.id)})
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -350,6 +350,36 @@
 	}
 }
 
+// A request waits only for room that can still serve it: one with less time left than half of what its class
+// usually takes is given up at once, and no wait goes beyond the middle of its time.
+func TestHoldLeavesTimeToServe(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		left, usual Millis
+		least, most Millis // of the wait
+	}{
+		{"time enough", 900, 100, 300, 350},
+		{"the middle of its time", 400, 100, 200, 200},
+		{"until a send is late", 250, 300, 100, 100},
+		{"too late already", 100, 300, 0, 0},
+	} {
+		cfg := twoWorths(1, 12)
+		b := New(cfg, 1, 0)
+		b.onList(entries(4), true)
+		b.usual[0].value = tt.usual
+		b.Actions()
+		b.hold(&request{id: 7, until: tt.left, expires: tt.left, mayRun: -1, worth: 1})
+		for _, a := range b.Actions() {
+			if a.Kind == ActTimer && (a.After < tt.least || a.After > tt.most) {
+				t.Errorf("%s: waits %.0f ms, want %.0f to %.0f", tt.name, a.After, tt.least, tt.most)
+			}
+		}
+		if len(b.queue) != 1 {
+			t.Errorf("%s: %d in the queue", tt.name, len(b.queue))
+		}
+	}
+}
+
 func TestEjectionIsBoundedAndEnds(t *testing.T) {
 	f := settled(t, testConfig(), 8)
 	for _, u := range f.b.list {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -23,7 +23,7 @@
 // settleFor is how many ms a connection rests after an answer before it is used again. Some upstreams send more than
 // belongs to an answer, a second copy say, right behind it: what comes while nothing is owed closes the connection,
 // while behind a request it would be taken for the answer to that. An idle connection more for each upstream is the price.
-const settleFor = 2.0
+const settleFor = 0.5
 
 // readMost is how many buffers one turn reads from one connection: a peer that sends without end must not
 // keep the others waiting.
