--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -161,6 +161,19 @@
 	return r, w, news, notes
 }
 
+// expect waits for the news of a revision.
+func expect(t *testing.T, news chan *Update, revision uint64) {
+	t.Helper()
+	select {
+	case u := <-news:
+		if u.Revision != revision {
+			t.Errorf("revision %d, want %d", u.Revision, revision)
+		}
+	case <-time.After(epolltest.Patience):
+		t.Fatalf("revision %d is not told", revision)
+	}
+}
+
 func (s *session) head() { io.WriteString(s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") }
 
 func (s *session) tell(text string) { fmt.Fprintf(s, "%x\r\n%s\r\n", len(text), text) }
@@ -168,17 +181,7 @@
 func TestWatch(t *testing.T) {
 	a := &agent{epolltest.Listen(t), t}
 	r, w, news, notes := follow(t, a.Address())
-	expect := func(revision uint64) {
-		t.Helper()
-		select {
-		case u := <-news:
-			if u.Revision != revision {
-				t.Errorf("revision %d, want %d", u.Revision, revision)
-			}
-		case <-time.After(epolltest.Patience):
-			t.Fatalf("revision %d is not told", revision)
-		}
-	}
+	expect := func(revision uint64) { t.Helper(); expect(t, news, revision) }
 	s := a.accept()
 	if s.since != "41" {
 		t.Errorf("asks for what came after %s", s.since)
@@ -267,17 +270,7 @@
 func TestMove(t *testing.T) {
 	from, to := &agent{epolltest.Listen(t), t}, &agent{epolltest.Listen(t), t}
 	r, f, news, _ := follow(t, from.Address())
-	expect := func(revision uint64) {
-		t.Helper()
-		select {
-		case u := <-news:
-			if u.Revision != revision {
-				t.Errorf("revision %d, want %d", u.Revision, revision)
-			}
-		case <-time.After(epolltest.Patience):
-			t.Fatalf("revision %d is not told", revision)
-		}
-	}
+	expect := func(revision uint64) { t.Helper(); expect(t, news, revision) }
 	moves := func() (n uint64) { r.Do(func() { n = f.count.moves.Value() }); return }
 	old := from.accept()
 	old.head()
