The loop stands on a kernel it is given; a balancer is wired in a package of its own

Need: the socket code is to run on a virtual clock against scripted faults, unforked, and the loop was bound to epoll and the wiring to the program.

Change: internal/loop keeps slots, generations, order of a turn, timers and the descriptor table, and calls a Kernel; internal/epoll is the machine's. cmd/salttrack keeps limits and signals, internal/node wires the rest. Two walks over Go maps (members gone from a whole list, connections closed at the end) now have a fixed order.

--- a/cmd/salttrack/main_test.go
+++ b/cmd/salttrack/main_test.go
@@ -18,6 +18,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"salttrack/internal/node"
 )
 
 const patience = 20 * time.Second
@@ -491,7 +493,7 @@
 	}
 	for _, tt := range tests {
 		path := w.config(tt.change)
-		if _, err := load(func(name string) string { return map[string]string{"BALANCER_CONFIG": path}[name] }); err == nil ||
+		if _, err := node.Load(func(name string) string { return map[string]string{"BALANCER_CONFIG": path}[name] }); err == nil ||
 			!strings.Contains(err.Error(), tt.want) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v, want %q", tt.name, err, tt.want)
 		}
@@ -510,20 +512,20 @@
 func TestEnvironmentGoesFirst(t *testing.T) {
 	w := newWorld(t)
 	path := w.config(nil)
-	c, err := load(func(name string) string {
+	c, err := node.Load(func(name string) string {
 		return map[string]string{"BALANCER_CONFIG": path, "BALANCER_NAME": "other", "BALANCER_LISTEN": "127.0.0.9:1", "BALANCER_DISCOVERY": "127.0.0.8:2"}[name]
 	})
-	if err != nil || c.name != "other" || c.listen.String() != "127.0.0.9:1" || c.discovery.String() != "127.0.0.8:2" || c.seed != 0x8c1f30d27a5be964 {
+	if err != nil || c.Name != "other" || c.Listen.String() != "127.0.0.9:1" || c.Discovery.String() != "127.0.0.8:2" || c.Seed != 0x8c1f30d27a5be964 {
 		t.Errorf("%+v %v", c, err)
 	}
 	// Read again, the file is newer than what the environment says of discovery.
-	c, err = reload(func(name string) string {
+	c, err = node.Reload(func(name string) string {
 		return map[string]string{"BALANCER_CONFIG": path, "BALANCER_LISTEN": "127.0.0.9:1", "BALANCER_DISCOVERY": "127.0.0.8:2"}[name]
 	})
-	if err != nil || c.discovery.String() != w.agent.Addr().String() || c.listen.String() != "127.0.0.9:1" {
+	if err != nil || c.Discovery.String() != w.agent.Addr().String() || c.Listen.String() != "127.0.0.9:1" {
 		t.Errorf("read again: %+v %v", c, err)
 	}
-	if len(c.settings.Classes) != 2 || c.settings.ClassNames[1] != "pay" || c.settings.KeepAlive != 15000 || len(c.settings.ZoneNames) != 2 {
-		t.Errorf("settings %+v", c.settings)
+	if len(c.Settings.Classes) != 2 || c.Settings.ClassNames[1] != "pay" || c.Settings.KeepAlive != 15000 || len(c.Settings.ZoneNames) != 2 {
+		t.Errorf("settings %+v", c.Settings)
 	}
 }
--- a/internal/discovery/members.go
+++ b/internal/discovery/members.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -116,9 +117,11 @@
 		listed[id], b.at[m.addr], b.known[id] = true, id, known{m.ID, m.addr, m.Started}
 		p.Place(id, m.addr, m.Started)
 	}
-	for id := range b.known {
-		if u.Complete && !listed[id] {
-			b.remove(id, p)
+	if u.Complete {
+		for _, id := range slices.Sorted(maps.Keys(b.known)) { // in an order that is the same each time
+			if !listed[id] {
+				b.remove(id, p)
+			}
 		}
 	}
 	return entries
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -11,8 +11,8 @@
 
 	"salttrack/balance"
 	"salttrack/internal/counter"
-	"salttrack/internal/epoll"
 	"salttrack/internal/http1"
+	"salttrack/internal/loop"
 	"salttrack/internal/timer"
 )
 
@@ -25,7 +25,7 @@
 
 // Options is what a watch works with.
 type Options struct {
-	Loop     *epoll.Loop
+	Loop     *loop.Loop
 	Address  netip.AddrPort
 	Revision uint64 // of the list that is known already, 0 for none: then the whole list is asked for
 	Counters *counter.Set
@@ -63,10 +63,10 @@
 // start begins to follow the list.
 func (w *watch) start() {
 	w.watches.Inc()
-	fd, err := epoll.Connect(w.Address)
+	fd, err := w.Loop.Connect(w.Address)
 	if err == nil {
-		if err = w.Loop.Add(fd, epoll.In|epoll.Out|epoll.Hup, w); err != nil {
-			unix.Close(fd)
+		if err = w.Loop.Add(fd, loop.In|loop.Out|loop.Hup, w); err != nil {
+			w.Loop.Close(fd)
 		}
 	}
 	if err != nil {
@@ -114,24 +114,24 @@
 // Ready handles what the kernel tells of the connection.
 func (w *watch) Ready(events uint32) {
 	if !w.up {
-		if err := epoll.Failed(w.fd); err != nil {
+		if err := w.Loop.Failed(w.fd); err != nil {
 			w.again(err)
 			return
 		}
-		w.up = events&epoll.Out != 0
+		w.up = events&loop.Out != 0
 	}
 	if w.up && len(w.unsent) > 0 {
-		n, err := epoll.Write(w.fd, w.unsent)
+		n, err := w.Loop.Write(w.fd, w.unsent)
 		if err != nil {
 			w.again(err)
 			return
 		}
 		if w.unsent = w.unsent[n:]; len(w.unsent) == 0 {
-			w.Loop.Watch(w.fd, epoll.In|epoll.Hup)
+			w.Loop.Watch(w.fd, loop.In|loop.Hup)
 		}
 	}
 	for fd := w.fd; w.fd == fd; {
-		n, err := epoll.Read(fd, w.buf)
+		n, err := w.Loop.Read(fd, w.buf)
 		switch {
 		case err == unix.EAGAIN:
 			return
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -10,10 +10,10 @@
 	"golang.org/x/sys/unix"
 
 	"salttrack/balance"
-	"salttrack/internal/epoll"
 	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
 	"salttrack/internal/invariant"
+	"salttrack/internal/loop"
 	"salttrack/internal/timer"
 )
 
@@ -90,13 +90,13 @@
 	case c.lingering:
 		c.discard()
 	case c.exchange != nil: // nothing is read meanwhile: only its end is told
-		if events&(epoll.Hup|epoll.Error) != 0 {
+		if events&(loop.Hup|loop.Error) != 0 {
 			c.left()
 		}
 	case len(c.unsent) > 0:
-		if events&epoll.Error != 0 {
+		if events&loop.Error != 0 {
 			c.broke()
-		} else if events&epoll.Out != 0 {
+		} else if events&loop.Out != 0 {
 			c.write()
 		}
 	default:
@@ -108,7 +108,7 @@
 // caller who has sent hundreds: the others must not wait for all of them.
 func (c *conn) read() {
 	for i, asked := 0, c.asked; i < readMost && c.place != nil && c.asked == asked; i++ {
-		n, err := epoll.Read(c.fd, c.s.buf)
+		n, err := c.s.Loop.Read(c.fd, c.s.buf)
 		switch {
 		case err == unix.EAGAIN:
 			return
@@ -156,7 +156,7 @@
 	if !c.dec.Done() {
 		if c.dec.WantsContinue() && !c.continued {
 			c.continued = true
-			epoll.Write(c.fd, []byte(http1.Continue)) // without it the sender goes on after a moment
+			c.s.Loop.Write(c.fd, []byte(http1.Continue)) // without it the sender goes on after a moment
 		}
 		c.heard = c.s.Loop.Now()
 		c.s.waiting.MoveToBack(c.place)
@@ -166,7 +166,7 @@
 		c.pending = bytes.Clone(c.pending)
 	}
 	c.unwait()
-	c.s.Loop.Watch(c.fd, epoll.Hup)
+	c.s.Loop.Watch(c.fd, loop.Hup)
 	c.request(c.dec.Request())
 }
 
@@ -182,7 +182,7 @@
 // tooSlow ends a connection whose time to bring a request is over.
 func (c *conn) tooSlow() {
 	if !c.dec.Begun() {
-		if !epoll.Quiet(c.fd) { // a request has just come
+		if !c.s.Loop.Quiet(c.fd) { // a request has just come
 			c.read()
 			return
 		}
@@ -315,13 +315,13 @@
 
 // write writes what the kernel takes of the answer, and goes on to the next request after the last byte.
 func (c *conn) write() {
-	n, err := epoll.Write(c.fd, c.unsent)
+	n, err := c.s.Loop.Write(c.fd, c.unsent)
 	if err != nil {
 		c.broke()
 		return
 	}
 	if c.unsent = c.unsent[n:]; len(c.unsent) > 0 {
-		c.s.Loop.Watch(c.fd, epoll.Out)
+		c.s.Loop.Watch(c.fd, loop.Out)
 		return
 	}
 	c.unsent, c.answered = nil, true
@@ -330,7 +330,7 @@
 		return
 	}
 	c.wait()
-	c.s.Loop.Watch(c.fd, epoll.In|epoll.Hup)
+	c.s.Loop.Watch(c.fd, loop.In|loop.Hup)
 	c.resume()
 }
 
@@ -352,15 +352,15 @@
 // can destroy the answer on its way.
 func (c *conn) linger() {
 	c.lingering = true
-	unix.Shutdown(c.fd, unix.SHUT_WR)
+	c.s.Loop.EndSending(c.fd)
 	c.timeout(lingerMost, c.close)
-	c.s.Loop.Watch(c.fd, epoll.In|epoll.Hup)
+	c.s.Loop.Watch(c.fd, loop.In|loop.Hup)
 	c.discard()
 }
 
 func (c *conn) discard() {
 	for range readMost {
-		n, err := epoll.Read(c.fd, c.s.buf)
+		n, err := c.s.Loop.Read(c.fd, c.s.buf)
 		if err == unix.EAGAIN {
 			return
 		}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -10,8 +10,8 @@
 
 	"salttrack/balance"
 	"salttrack/internal/counter"
-	"salttrack/internal/epoll"
 	"salttrack/internal/exchange"
+	"salttrack/internal/loop"
 )
 
 const (
@@ -40,8 +40,8 @@
 
 // Options is what a server works with.
 type Options struct {
-	Loop     *epoll.Loop
-	Table    *epoll.Table
+	Loop     *loop.Loop
+	Table    *loop.Table
 	Spare    int // connections beyond the table, whose callers are only told to go elsewhere
 	Counters *counter.Set
 	Classes  []string // names of the classes in the order of their numbers
@@ -60,7 +60,7 @@
 	open     map[string]struct{} // ids of the requests that are owed an answer
 	waiting  *list.List          // of *conn that owe no answer, the longest silent first
 	over     int                 // connections beyond the table
-	side     *epoll.Side
+	side     *loop.Side
 	draining bool
 	buf      []byte
 	count    counters
@@ -96,12 +96,12 @@
 
 // Listen begins to take connections.
 func (s *Server) Listen(addr netip.AddrPort) error {
-	fd, err := epoll.Listen(addr)
+	fd, err := s.Loop.Listen(addr)
 	if err != nil {
 		return err
 	}
-	if err := s.Loop.Add(fd, epoll.In, s); err != nil {
-		unix.Close(fd)
+	if err := s.Loop.Add(fd, loop.In, s); err != nil {
+		s.Loop.Close(fd)
 		return err
 	}
 	s.fd = fd
@@ -119,7 +119,7 @@
 			s.pause()
 			return
 		}
-		fd, err := epoll.Accept(s.fd)
+		fd, err := s.Loop.Accept(s.fd)
 		if err != nil {
 			if err != unix.EAGAIN { // no descriptor or memory in the kernel: it is tried again
 				s.pause()
@@ -128,12 +128,12 @@
 		}
 		s.count.accepted.Inc()
 		c := newConn(s, fd, !s.side.Take())
-		if err := s.Loop.Add(fd, epoll.In|epoll.Hup, c); err != nil {
+		if err := s.Loop.Add(fd, loop.In|loop.Hup, c); err != nil {
 			c.release()
-			unix.Close(fd)
+			s.Loop.Close(fd)
 			continue
 		}
-		c.Ready(epoll.In) // the request is often there already
+		c.Ready(loop.In) // the request is often there already
 	}
 }
 
@@ -143,7 +143,7 @@
 	s.Loop.Watch(s.fd, 0)
 	s.Loop.After(pauseAccept, func() {
 		if s.fd >= 0 {
-			s.Loop.Watch(s.fd, epoll.In)
+			s.Loop.Watch(s.fd, loop.In)
 		}
 	})
 }
@@ -166,7 +166,7 @@
 		case !c.answered:
 			least = silentLeast
 		}
-		if !c.over && now-c.heard >= least && epoll.Quiet(c.fd) {
+		if !c.over && now-c.heard >= least && s.Loop.Quiet(c.fd) {
 			s.count.shed.Inc()
 			c.close()
 			return true
@@ -210,7 +210,7 @@
 func (s *Server) closeWaiting(half bool) {
 	for e := s.waiting.Front(); e != nil; {
 		c := e.Value.(*conn)
-		if e = e.Next(); (half || !c.dec.Begun()) && epoll.Quiet(c.fd) {
+		if e = e.Next(); (half || !c.dec.Begun()) && s.Loop.Quiet(c.fd) {
 			c.close()
 		}
 	}
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -18,6 +18,7 @@
 	"salttrack/internal/epoll"
 	"salttrack/internal/epoll/epolltest"
 	"salttrack/internal/exchange"
+	"salttrack/internal/loop"
 )
 
 // rig is a server on a loop of its own whose core the test plays.
@@ -35,7 +36,7 @@
 func newRig(t *testing.T, limit, spare int) *rig {
 	t.Helper()
 	r := &rig{Rig: epolltest.Start(t), taken: make(chan *exchange.Exchange, 1000), gone: make(chan *exchange.Exchange, 1000)}
-	r.s = NewServer(Options{Loop: r.Loop, Table: epoll.NewTable(limit), Spare: spare, Counters: &r.Count,
+	r.s = NewServer(Options{Loop: r.Loop, Table: loop.NewTable(limit), Spare: spare, Counters: &r.Count,
 		Classes: []string{"read", "pay", "keep"}, Effects: []balance.Effect{balance.Safe, balance.Unsafe, balance.Keyed},
 		Ahead: 10, Ready: func() bool { return true }})
 	r.s.Serve(r)
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -97,6 +97,12 @@
 	return int(c.taken.Value() - c.served.Value() - c.refused.Value() - c.failed.Value() - c.left.Value())
 }
 
+// Held is the number of exchanges that are known, owed an answer or not.
+func (d *Driver) Held() int { return len(d.open) }
+
+// Out is the number of attempts that are awaited.
+func (d *Driver) Out() int { return len(d.timeouts) }
+
 // Take hands a request to the module. Its answer may come before Take returns.
 func (d *Driver) Take(x *exchange.Exchange) {
 	d.next++
--- a/internal/epoll/epolltest/epolltest.go
+++ b/internal/epoll/epolltest/epolltest.go
@@ -9,6 +9,7 @@
 
 	"salttrack/internal/counter"
 	"salttrack/internal/epoll"
+	"salttrack/internal/loop"
 )
 
 // Patience bounds a wait for what has to come. No test depends on how long anything takes.
@@ -17,26 +18,28 @@
 // Rig is a loop that runs until the test ends, and a set of counters.
 type Rig struct {
 	T     *testing.T
-	Loop  *epoll.Loop
+	Loop  *loop.Loop
 	Count counter.Set
 }
 
 // Start starts a loop.
 func Start(t *testing.T) *Rig {
 	t.Helper()
-	loop, err := epoll.New()
+	k, err := epoll.New()
 	if err != nil {
 		t.Fatal(err)
 	}
+	l := loop.New(k)
 	done := make(chan error, 1)
-	go func() { done <- loop.Run() }()
+	go func() { done <- l.Run() }()
 	t.Cleanup(func() {
-		loop.Post(loop.Stop)
+		l.Post(l.Stop)
 		if err := <-done; err != nil {
 			t.Error(err)
 		}
+		k.Release()
 	})
-	return &Rig{T: t, Loop: loop}
+	return &Rig{T: t, Loop: l}
 }
 
 // Do runs f on the loop and waits for it.
--- /dev/null
+++ b/internal/epoll/kernel.go
@@ -0,0 +1,105 @@
+// Package epoll is the machine's kernel as a loop needs it: epoll, the clock, and non-blocking sockets.
+package epoll
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"salttrack/internal/loop"
+)
+
+// Kernel is one epoll descriptor and a clock.
+type Kernel struct {
+	ep, wake int
+	start    time.Time
+	base     float64
+}
+
+// wakeGen marks the event of the descriptor by which a wait is ended. No watch of a loop has it.
+const wakeGen = -1
+
+// New returns a kernel. Its clock reads Unix time in milliseconds at the start and goes on by the monotonic
+// clock, so that times told by other machines need no conversion and it never goes back.
+func New() (*Kernel, error) {
+	ep, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	wake, err := unix.Eventfd(0, unix.EFD_CLOEXEC|unix.EFD_NONBLOCK)
+	if err != nil {
+		unix.Close(ep)
+		return nil, fmt.Errorf("eventfd: %w", err)
+	}
+	now := time.Now()
+	k := &Kernel{ep: ep, wake: wake, start: now, base: float64(now.UnixMicro()) / 1000}
+	if err := k.Add(wake, loop.In, wakeGen); err != nil {
+		unix.Close(ep)
+		unix.Close(wake)
+		return nil, err
+	}
+	return k, nil
+}
+
+// Now reads the clock.
+func (k *Kernel) Now() float64 { return k.base + float64(time.Since(k.start).Microseconds())/1000 }
+
+// Add watches a descriptor.
+func (k *Kernel) Add(fd int, events uint32, gen int32) error {
+	if err := unix.EpollCtl(k.ep, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd), Pad: gen}); err != nil {
+		return fmt.Errorf("epoll: %w", err)
+	}
+	return nil
+}
+
+// Modify changes what a descriptor is watched for.
+func (k *Kernel) Modify(fd int, events uint32, gen int32) {
+	// The descriptor is the loop's and watched, so this can't fail but for want of kernel memory.
+	_ = unix.EpollCtl(k.ep, unix.EPOLL_CTL_MOD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd), Pad: gen})
+}
+
+// Wait waits for descriptors.
+func (k *Kernel) Wait(into []loop.Event, ms int) (int, error) {
+	n, err := unix.EpollWait(k.ep, into, ms)
+	if err == unix.EINTR {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, fmt.Errorf("epoll: %w", err)
+	}
+	for i := range n {
+		if into[i].Pad == wakeGen {
+			var buf [8]byte
+			unix.Read(k.wake, buf[:])
+			into[i] = into[n-1]
+			return n - 1, nil
+		}
+	}
+	return n, nil
+}
+
+// Wake ends a wait.
+func (k *Kernel) Wake() {
+	one := [8]byte{1}
+	unix.Write(k.wake, one[:]) // a full eventfd wakes the loop as well
+}
+
+// Release gives the kernel's own descriptors back.
+func (k *Kernel) Release() {
+	unix.Close(k.ep)
+	unix.Close(k.wake)
+}
+
+// The calls on sockets, as loop.Sockets describes them.
+
+func (k *Kernel) Listen(a netip.AddrPort) (int, error)  { return Listen(a) }
+func (k *Kernel) Connect(a netip.AddrPort) (int, error) { return Connect(a) }
+func (k *Kernel) Accept(fd int) (int, error)            { return Accept(fd) }
+func (k *Kernel) Failed(fd int) error                   { return Failed(fd) }
+func (k *Kernel) Read(fd int, p []byte) (int, error)    { return Read(fd, p) }
+func (k *Kernel) Write(fd int, p []byte) (int, error)   { return Write(fd, p) }
+func (k *Kernel) Quiet(fd int) bool                     { return Quiet(fd) }
+func (k *Kernel) EndSending(fd int)                     { unix.Shutdown(fd, unix.SHUT_WR) }
+func (k *Kernel) Close(fd int)                          { unix.Close(fd) }
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,238 @@
+// Package loop is the one loop of the program: readiness of descriptors, timers, and the count of descriptors
+// against their limit. What it stands on is a Kernel: package epoll is the one of the machine, and package vnet of
+// the laboratory is one on a virtual clock. All of the loop is the same on both.
+package loop
+
+import (
+	"math"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"golang.org/x/sys/unix"
+
+	"salttrack/internal/timer"
+)
+
+// What a descriptor is watched for, and told of.
+const (
+	In    = unix.EPOLLIN
+	Out   = unix.EPOLLOUT
+	Hup   = unix.EPOLLRDHUP
+	Error = unix.EPOLLERR | unix.EPOLLHUP // always told
+)
+
+// Event tells that a descriptor is ready: Fd is its number, Pad the generation under which it was added.
+type Event = unix.EpollEvent
+
+// Sockets are the calls on descriptors. All are non-blocking, and fail with the errors of package unix.
+type Sockets interface {
+	// Listen returns a listening socket.
+	Listen(netip.AddrPort) (int, error)
+	// Connect begins a connection. It is up, or has failed, when the socket is writable: see Failed.
+	Connect(netip.AddrPort) (int, error)
+	// Accept takes one connection that waits; unix.EAGAIN says that there is none.
+	Accept(fd int) (int, error)
+	// Failed returns the fault of a socket, nil if it has none.
+	Failed(fd int) error
+	// Read reads what has come. Zero bytes with no error are the end of the stream; unix.EAGAIN says that there
+	// is nothing yet.
+	Read(fd int, p []byte) (int, error)
+	// Write writes what the kernel takes; no bytes and no error say that its buffer is full.
+	Write(fd int, p []byte) (int, error)
+	// Quiet reports whether a connection is open and nothing has come on it.
+	Quiet(fd int) bool
+	// EndSending sends the end of the stream. Reading goes on.
+	EndSending(fd int)
+}
+
+// Kernel is what a loop stands on.
+type Kernel interface {
+	Sockets
+	// Now reads a clock that never goes back, in milliseconds of Unix time.
+	Now() float64
+	// Add watches a descriptor, Modify changes what it is watched for. Events tell the generation given last.
+	Add(fd int, events uint32, gen int32) error
+	Modify(fd int, events uint32, gen int32)
+	// Close closes a descriptor and ends its watch.
+	Close(fd int)
+	// Wait waits up to so many milliseconds, or without end with -1, until descriptors are ready or Wake is called.
+	Wait(into []Event, ms int) (int, error)
+	// Wake ends a wait, from any goroutine.
+	Wake()
+}
+
+// waited is how long a wait in the kernel, in milliseconds, is no mere call any more.
+const waited = 0.5
+
+// Handler is told when its descriptor is ready.
+type Handler interface {
+	Ready(events uint32)
+}
+
+// slot is what the loop knows of one descriptor number. The generation tells an event of a descriptor that
+// was closed in the same turn from one of the descriptor that has its number now.
+type slot struct {
+	handler Handler
+	gen     int32
+	events  uint32
+	first   bool
+}
+
+// Loop waits for descriptors and timers and tells their handlers, all on the goroutine that runs its turns.
+type Loop struct {
+	Sockets
+	Timers timer.Heap
+
+	kernel  Kernel
+	slots   []slot
+	events  [512]Event
+	turned  float64 // when the wait of the last turn ended
+	arrived float64
+	stopped bool
+
+	waiting atomic.Bool // something was posted
+	mu      sync.Mutex
+	posted  []func()
+}
+
+// New returns a loop on a kernel.
+func New(k Kernel) *Loop {
+	now := k.Now()
+	return &Loop{Sockets: k, kernel: k, turned: now, arrived: now}
+}
+
+// Now reads the clock, in milliseconds.
+func (l *Loop) Now() float64 { return l.kernel.Now() }
+
+// Arrived is the time at which what is handled now may have come at the earliest. If the loop had to wait for
+// it, it has just come. Else it may have come at any time of the turn before, which is long when the process
+// was kept from its core.
+func (l *Loop) Arrived() float64 { return l.arrived }
+
+// After runs do once the given time has passed.
+func (l *Loop) After(ms float64, do func()) *timer.Timer { return l.Timers.Set(l.Now()+ms, do) }
+
+// Add watches a descriptor.
+func (l *Loop) Add(fd int, events uint32, h Handler) error {
+	for fd >= len(l.slots) {
+		l.slots = append(l.slots, slot{})
+	}
+	s := &l.slots[fd]
+	s.gen++
+	s.handler, s.events, s.first = h, events, false
+	if err := l.kernel.Add(fd, events, s.gen); err != nil {
+		s.handler = nil
+		return err
+	}
+	return nil
+}
+
+// First lets a descriptor's handler run before those of all others that are ready in the same turn.
+func (l *Loop) First(fd int) { l.slots[fd].first = true }
+
+// Watch changes what a descriptor is watched for.
+func (l *Loop) Watch(fd int, events uint32) {
+	s := &l.slots[fd]
+	if s.handler == nil || s.events == events {
+		return
+	}
+	s.events = events
+	l.kernel.Modify(fd, events, s.gen)
+}
+
+// Close stops watching a descriptor, if it was watched, and closes it. Events of it that this turn still holds
+// are dropped.
+func (l *Loop) Close(fd int) {
+	if fd < len(l.slots) {
+		l.slots[fd].handler = nil
+		l.slots[fd].gen++
+	}
+	l.kernel.Close(fd)
+}
+
+// Watched is the number of descriptors that have a handler.
+func (l *Loop) Watched() int {
+	n := 0
+	for i := range l.slots {
+		if l.slots[i].handler != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// Post runs do on the loop. It alone may be called from other goroutines.
+func (l *Loop) Post(do func()) {
+	l.mu.Lock()
+	l.posted = append(l.posted, do)
+	l.waiting.Store(true)
+	l.mu.Unlock()
+	l.kernel.Wake()
+}
+
+// Stop ends Run after the present turn.
+func (l *Loop) Stop() { l.stopped = true }
+
+// Stopped reports whether Stop was called.
+func (l *Loop) Stopped() bool { return l.stopped }
+
+// Run serves until Stop.
+func (l *Loop) Run() error {
+	for l.stopped = false; !l.stopped; {
+		if err := l.Turn(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Turn waits once and handles what there is: descriptors, then what was posted, then timers, and only the timers
+// that were due when it looked at the descriptors: what has come in is seen before a time-out decides that it has
+// not. (A turn in which the process lost its core for 250 ms had timed out connects that were up.)
+func (l *Loop) Turn() error {
+	before := l.Now()
+	n, err := l.kernel.Wait(l.events[:], l.Patience())
+	if err != nil {
+		return err
+	}
+	after := l.Now()
+	if l.arrived = l.turned; after-before > waited {
+		l.arrived = after
+	}
+	l.turned = after
+	for _, first := range [...]bool{true, false} {
+		for i := range n {
+			e := &l.events[i]
+			if s := &l.slots[e.Fd]; s.handler != nil && s.gen == e.Pad && s.first == first {
+				s.handler.Ready(e.Events)
+			}
+		}
+	}
+	if l.waiting.Load() {
+		l.runPosted()
+	}
+	l.Timers.Run(l.turned)
+	return nil
+}
+
+// Patience is how long a turn may wait for descriptors, in whole milliseconds, rounded up; -1 is without end.
+func (l *Loop) Patience() int {
+	at, ok := l.Timers.Next()
+	if !ok {
+		return -1
+	}
+	return int(math.Ceil(min(60000, max(0, at-l.Now()))))
+}
+
+// runPosted runs what other goroutines have posted.
+func (l *Loop) runPosted() {
+	l.mu.Lock()
+	posted := l.posted
+	l.posted = nil
+	l.waiting.Store(false)
+	l.mu.Unlock()
+	for _, do := range posted {
+		do()
+	}
+}
--- a/internal/epoll/table.go
+++ b/internal/loop/table.go
@@ -1,4 +1,4 @@
-package epoll
+package loop
 
 import "salttrack/internal/invariant"
 
--- a/cmd/salttrack/config.go
+++ b/internal/node/config.go
@@ -1,4 +1,4 @@
-package main
+package node
 
 import (
 	"encoding/json"
@@ -16,48 +16,61 @@
 	"salttrack/internal/settings"
 )
 
-// config is what a balancer is told at its start.
-type config struct {
-	name      string
-	listen    netip.AddrPort
-	discovery netip.AddrPort
-	seed      uint64
-	limits    limits
-	known     *discovery.Update
-	settings  settings.Settings
-	effects   []balance.Effect
+const (
+	socketsLeast = 48 // below this the parts that are set aside leave nothing to serve with
+	memoryLeast  = 8  // MB
+)
+
+// Config is what a balancer is told at its start.
+type Config struct {
+	Name      string
+	Listen    netip.AddrPort
+	Discovery netip.AddrPort
+	Seed      uint64 // of its random numbers
+	Limits    Limits
+	Known     *discovery.Update // the list as it last was
+	Settings  settings.Settings
+	Effects   []balance.Effect // by class
 }
 
-type limits struct {
+// Limits is what a balancer may use.
+type Limits struct {
 	Cores    float64 `json:"cores"`
 	MemoryMB float64 `json:"memory_mb"`
 	Sockets  int     `json:"sockets"`
 }
 
+// AtMost lowers the number of descriptors to what the kernel allows.
+func (l *Limits) AtMost(kernel uint64) {
+	if kernel < uint64(l.Sockets) {
+		l.Sockets = max(socketsLeast, int(kernel))
+	}
+}
+
 // file is the configuration as the platform writes it. Fields that are not named here are ignored.
 type file struct {
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
 	Discovery string          `json:"discovery"`
 	Seed      string          `json:"seed"`
-	Limits    limits          `json:"limits"`
+	Limits    Limits          `json:"limits"`
 	Known     json.RawMessage `json:"known"`
 	Settings  json.RawMessage `json:"settings"`
 }
 
-// load reads the configuration that the environment names. What the environment says itself goes first.
-func load(env func(string) string) (*config, error) {
+// Load reads the configuration that the environment names. What the environment says itself goes first.
+func Load(env func(string) string) (*Config, error) {
 	return read(env, "BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_DISCOVERY")
 }
 
-// reload reads it again for a program that runs: the file is newer than the environment, so it says where
+// Reload reads it again for a program that runs: the file is newer than the environment, so it says where
 // discovery is now.
-func reload(env func(string) string) (*config, error) {
+func Reload(env func(string) string) (*Config, error) {
 	return read(env, "BALANCER_NAME", "BALANCER_LISTEN")
 }
 
 // read reads the configuration. The named variables go before the file.
-func read(env func(string) string, first ...string) (*config, error) {
+func read(env func(string) string, first ...string) (*Config, error) {
 	path := env("BALANCER_CONFIG")
 	if path == "" {
 		return nil, errors.New("BALANCER_CONFIG is not set")
@@ -66,28 +79,37 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	f := file{Limits: limits{Cores: 1, MemoryMB: 192, Sockets: 1024}}
-	if err := json.Unmarshal(text, &f); err != nil {
-		return nil, fmt.Errorf("configuration %s: %w", path, err)
-	}
-	into := map[string]*string{"BALANCER_NAME": &f.Name, "BALANCER_LISTEN": &f.Listen, "BALANCER_DISCOVERY": &f.Discovery}
+	over := map[string]string{}
 	for _, name := range first {
-		if v := env(name); v != "" {
-			*into[name] = v
-		}
+		over[name] = env(name)
 	}
-	c, err := f.check()
+	c, err := Parse(text, over)
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	return c, nil
 }
 
+// Parse reads a configuration. What over names by its variable and is not empty goes before the text.
+func Parse(text []byte, over map[string]string) (*Config, error) {
+	f := file{Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}}
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, err
+	}
+	into := map[string]*string{"BALANCER_NAME": &f.Name, "BALANCER_LISTEN": &f.Listen, "BALANCER_DISCOVERY": &f.Discovery}
+	for name, field := range into {
+		if v := over[name]; v != "" {
+			*field = v
+		}
+	}
+	return f.check()
+}
+
 // restartFor names what differs in a configuration read again and is only taken up at the next start.
-func (c *config) restartFor(again *config) []string {
+func (c *Config) restartFor(again *Config) []string {
 	var names []string
-	for name, same := range map[string]bool{"name": c.name == again.name, "listen": c.listen == again.listen,
-		"limits": c.limits == again.limits, "settings": reflect.DeepEqual(c.settings, again.settings)} {
+	for name, same := range map[string]bool{"name": c.Name == again.Name, "listen": c.Listen == again.Listen,
+		"limits": c.Limits == again.Limits, "settings": reflect.DeepEqual(c.Settings, again.Settings)} {
 		if !same {
 			names = append(names, name)
 		}
@@ -96,26 +118,26 @@
 	return names
 }
 
-func (f *file) check() (*config, error) {
-	c := &config{name: f.Name, limits: f.Limits}
+func (f *file) check() (*Config, error) {
+	c := &Config{Name: f.Name, Limits: f.Limits}
 	var err error
-	if c.listen, err = netip.ParseAddrPort(f.Listen); err != nil {
+	if c.Listen, err = netip.ParseAddrPort(f.Listen); err != nil {
 		return nil, fmt.Errorf("listen %q: %w", f.Listen, err)
 	}
-	if c.discovery, err = netip.ParseAddrPort(f.Discovery); err != nil {
+	if c.Discovery, err = netip.ParseAddrPort(f.Discovery); err != nil {
 		return nil, fmt.Errorf("discovery %q: %w", f.Discovery, err)
 	}
-	if c.limits.Sockets < socketsLeast || c.limits.MemoryMB < memoryLeast || c.limits.Cores <= 0 {
+	if c.Limits.Sockets < socketsLeast || c.Limits.MemoryMB < memoryLeast || c.Limits.Cores <= 0 {
 		return nil, fmt.Errorf("limits: at least %d sockets, %d MB and some of a core are needed", socketsLeast, memoryLeast)
 	}
-	if c.seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil { // any text will do as a seed
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil { // any text will do as a seed
 		h := fnv.New64a()
 		h.Write([]byte(f.Seed))
-		c.seed = h.Sum64()
+		c.Seed = h.Sum64()
 	}
-	c.known = &discovery.Update{Complete: true}
+	c.Known = &discovery.Update{Complete: true}
 	if len(f.Known) > 0 && string(f.Known) != "null" {
-		if c.known, err = discovery.Parse(f.Known); err != nil {
+		if c.Known, err = discovery.Parse(f.Known); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
@@ -126,14 +148,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.settings, err = settings.Build(values); err != nil {
+	if c.Settings, err = settings.Build(values); err != nil {
 		return nil, err
 	}
-	for i, name := range c.settings.ClassNames {
+	for i, name := range c.Settings.ClassNames {
 		if name == "" {
 			return nil, fmt.Errorf("setting classes.%d.name is missing", i)
 		}
-		c.effects = append(c.effects, c.settings.Classes[i].Effect)
+		c.Effects = append(c.Effects, c.Settings.Classes[i].Effect)
 	}
 	return c, nil
 }
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,133 @@
+// Package node is one balancer: it wires the two sides, discovery, the driver and the module together on a loop,
+// and takes the orders that a running balancer gets. Where the loop stands (on the machine's kernel or on a virtual
+// one) and where orders come from (signals, a script) is its user's affair.
+package node
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"salttrack/balance"
+	"salttrack/internal/counter"
+	"salttrack/internal/discovery"
+	"salttrack/internal/downstream"
+	"salttrack/internal/driver"
+	"salttrack/internal/invariant"
+	"salttrack/internal/loop"
+	"salttrack/internal/upstream"
+)
+
+const (
+	ownSockets   = 20  // the loop's, the listener, discovery, the standard streams, the runtime's
+	spareSockets = 32  // for callers that come when all others are in use
+	readyWithin  = 500 // ms that the start waits for discovery before it serves by the list it knows
+)
+
+// Balancer is all parts of one. Its methods are called on its loop.
+type Balancer struct {
+	Counters counter.Set
+
+	config  *Config
+	log     *logrus.Entry
+	loop    *loop.Loop
+	table   *loop.Table
+	pool    *upstream.Pool
+	book    *discovery.Book
+	list    *discovery.Follower
+	driver  *driver.Driver
+	server  *downstream.Server
+	started balance.Millis
+
+	reloads, badReloads *counter.Counter
+}
+
+// New returns a balancer that does nothing yet.
+func New(c *Config, l *loop.Loop, log *logrus.Entry) *Balancer {
+	b := &Balancer{config: c, log: log, loop: l, started: l.Now(), book: discovery.NewBook(c.Settings.ZoneNames)}
+	spare := min(spareSockets, c.Limits.Sockets/16)
+	b.table = loop.NewTable(c.Limits.Sockets - ownSockets - spare)
+	b.list = discovery.NewFollower(discovery.Options{Loop: l, Address: c.Discovery, Revision: c.Known.Revision,
+		Counters: &b.Counters, News: b.news, Note: func(s string) { log.Warn(s) }})
+	// The callers' side comes first in the table: their silent connections are shed before idle ones to upstreams.
+	b.server = downstream.NewServer(downstream.Options{Loop: l, Table: b.table, Spare: spare,
+		Counters: &b.Counters, Classes: c.Settings.ClassNames, Effects: c.Effects,
+		Ahead: 2 * c.Settings.Tick, Ready: b.ready})
+	b.pool = upstream.New(upstream.Options{Loop: l, Table: b.table, Counters: &b.Counters,
+		ConnectTimeout: c.Settings.ConnectTimeout, KeepAlive: c.Settings.KeepAlive, Reports: c.Settings.Inflight >= 0})
+	b.driver = driver.New(driver.Options{Config: c.Settings.Config, Seed: c.Seed, Now: l.Now, Timers: &l.Timers,
+		Upstreams: b.pool, Counters: &b.Counters, Note: func(s string) { log.Info(s) }})
+	b.pool.Listen(b.driver)
+	b.server.Serve(b.driver)
+	b.reloads, b.badReloads = b.Counters.New("reloads"), b.Counters.New("reloads_failed")
+	b.Counters.Reading("connections", func() uint64 { return uint64(b.table.Open()) })
+	b.Counters.Reading("invariants_broken", invariant.Broken)
+	return b
+}
+
+// news takes what discovery tells: where upstreams listen, then the module.
+func (b *Balancer) news(u *discovery.Update) {
+	b.driver.List(b.book.Enter(u, b.pool), u.Complete)
+}
+
+// ready reports whether the list is fresh, or discovery has had its time to say so.
+func (b *Balancer) ready() bool {
+	return b.list.Answered() || b.loop.Now() > b.started+readyWithin && len(b.config.Known.Members) > 0
+}
+
+// Start begins to serve.
+func (b *Balancer) Start() error {
+	b.news(b.config.Known)
+	b.driver.Start()
+	b.list.Start()
+	if err := b.server.Listen(b.config.Listen); err != nil {
+		return err
+	}
+	b.log.WithFields(logrus.Fields{"listen": b.config.Listen, "tier": b.config.Settings.Stage}).Info("serving")
+	return nil
+}
+
+// Drain begins the end: done is called when nothing is owed any more.
+func (b *Balancer) Drain(done func()) {
+	b.log.Info("ending")
+	b.server.Drain(done)
+}
+
+// Close closes what is left: connections to upstreams and the watch of the list.
+func (b *Balancer) Close() {
+	b.list.Stop()
+	b.pool.Close()
+	b.log.WithField("counters", b.Counters.String()).Info("end")
+}
+
+// Left says what a balancer that has ended still holds, "" if that is nothing.
+func (b *Balancer) Left() string {
+	var left []string
+	for _, what := range []struct {
+		name string
+		n    int
+	}{{"connections", b.table.Open()}, {"exchanges", b.driver.Held()}, {"requests", b.driver.Open()}, {"attempts", b.driver.Out()}} {
+		if what.n != 0 {
+			left = append(left, fmt.Sprintf("%d %s", what.n, what.name))
+		}
+	}
+	return strings.Join(left, ", ")
+}
+
+// Reconfigure takes up a configuration that was read again: discovery may be elsewhere now. One that can't be
+// used leaves all as it is. A second order, one with an unchanged file and one during the end are harmless.
+func (b *Balancer) Reconfigure(again *Config, err error) {
+	if err != nil {
+		b.badReloads.Inc()
+		b.log.WithError(err).Warn("the configuration stays as it was")
+		return
+	}
+	b.reloads.Inc()
+	log := b.log.WithField("discovery", again.Discovery)
+	if names := b.config.restartFor(again); len(names) > 0 {
+		log = log.WithField("at_next_start", strings.Join(names, " "))
+	}
+	log.Info("configuration read again")
+	b.list.Move(again.Discovery)
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -3,16 +3,18 @@
 
 import (
 	"container/list"
+	"maps"
 	"net/netip"
+	"slices"
 
 	"golang.org/x/sys/unix"
 
 	"salttrack/balance"
 	"salttrack/internal/counter"
-	"salttrack/internal/epoll"
 	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
 	"salttrack/internal/invariant"
+	"salttrack/internal/loop"
 	"salttrack/internal/timer"
 )
 
@@ -36,8 +38,8 @@
 
 // Options is what a pool works with.
 type Options struct {
-	Loop           *epoll.Loop
-	Table          *epoll.Table
+	Loop           *loop.Loop
+	Table          *loop.Table
 	Counters       *counter.Set
 	ConnectTimeout balance.Millis
 	KeepAlive      balance.Millis
@@ -46,8 +48,8 @@
 
 // Pool holds the connections to all upstreams.
 type Pool struct {
-	loop     *epoll.Loop
-	side     *epoll.Side
+	loop     *loop.Loop
+	side     *loop.Side
 	listener Listener
 	connect  balance.Millis
 	keep     balance.Millis
@@ -143,7 +145,7 @@
 		if p.loop.Now()-c.rested < settleFor {
 			continue
 		}
-		if epoll.Quiet(c.fd) {
+		if p.loop.Quiet(c.fd) {
 			p.count.reused.Inc()
 			c.leaveIdle()
 			c.begin(a)
@@ -167,7 +169,7 @@
 
 // open begins a connection.
 func (p *Pool) open(t *target) (*conn, error) {
-	fd, err := epoll.Connect(t.addr)
+	fd, err := p.loop.Connect(t.addr)
 	if err != nil {
 		p.side.Give()
 		p.count.refused.Inc()
@@ -175,8 +177,8 @@
 	}
 	c := &conn{pool: p, target: t, addr: t.addr, started: t.started, fd: fd, connecting: true,
 		dec: http1.NewResponseDecoder(nil)}
-	if err := p.loop.Add(fd, epoll.In|epoll.Out|epoll.Hup, c); err != nil {
-		unix.Close(fd)
+	if err := p.loop.Add(fd, loop.In|loop.Out|loop.Hup, c); err != nil {
+		p.loop.Close(fd)
 		p.side.Give()
 		return nil, err
 	}
@@ -196,12 +198,14 @@
 	}
 }
 
-// Close closes all connections.
+// Close closes all connections, in an order that is the same each time.
 func (p *Pool) Close() {
-	for _, t := range p.ups {
-		p.drop(t)
+	for p.idle.Len() > 0 {
+		p.count.closed.Inc()
+		p.idle.Front().Value.(*conn).close()
 	}
-	for _, c := range p.out {
+	out := slices.SortedFunc(maps.Values(p.out), func(a, b *conn) int { return a.fd - b.fd })
+	for _, c := range out {
 		c.detach()
 		c.close()
 	}
@@ -239,7 +243,7 @@
 // send writes what the kernel takes of the request. A connection that breaks before the last byte is
 // written has proved that the request never ran, unless an answer says otherwise.
 func (c *conn) send() {
-	n, err := epoll.Write(c.fd, c.unsent)
+	n, err := c.pool.loop.Write(c.fd, c.unsent)
 	c.unsent = c.unsent[n:]
 	if err != nil {
 		c.receive()
@@ -250,9 +254,9 @@
 	}
 	if len(c.unsent) == 0 {
 		c.unsent, c.attempt.Whole = nil, true
-		c.pool.loop.Watch(c.fd, epoll.In|epoll.Hup)
+		c.pool.loop.Watch(c.fd, loop.In|loop.Hup)
 	} else {
-		c.pool.loop.Watch(c.fd, epoll.In|epoll.Out|epoll.Hup)
+		c.pool.loop.Watch(c.fd, loop.In|loop.Out|loop.Hup)
 	}
 }
 
@@ -267,12 +271,12 @@
 // Ready handles what the kernel tells of the connection.
 func (c *conn) Ready(events uint32) {
 	if c.connecting {
-		if err := epoll.Failed(c.fd); err != nil || events&epoll.Error != 0 {
+		if err := c.pool.loop.Failed(c.fd); err != nil || events&loop.Error != 0 {
 			c.pool.count.refused.Inc()
 			c.end(balance.ConnectFailed)
 			return
 		}
-		if events&epoll.Out == 0 {
+		if events&loop.Out == 0 {
 			return
 		}
 		c.connecting = false
@@ -284,10 +288,10 @@
 		c.close()
 		return
 	}
-	if len(c.unsent) > 0 && events&epoll.Out != 0 {
+	if len(c.unsent) > 0 && events&loop.Out != 0 {
 		c.send()
 	}
-	if !c.closed && c.attempt != nil && events&^epoll.Out != 0 {
+	if !c.closed && c.attempt != nil && events&^loop.Out != 0 {
 		c.receive()
 	}
 }
@@ -295,7 +299,7 @@
 // receive reads what has come. An answer that is not whole says no more than that the connection broke.
 func (c *conn) receive() {
 	for i := 0; i < readMost && c.attempt != nil && !c.closed; i++ {
-		n, err := epoll.Read(c.fd, c.pool.buf)
+		n, err := c.pool.loop.Read(c.fd, c.pool.buf)
 		switch {
 		case err == unix.EAGAIN:
 			return
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -16,6 +16,7 @@
 	"salttrack/internal/epoll/epolltest"
 	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
+	"salttrack/internal/loop"
 )
 
 type ending struct {
@@ -36,7 +37,7 @@
 func newRig(t *testing.T, limit int) *rig {
 	t.Helper()
 	r := &rig{Rig: epolltest.Start(t), ends: make(chan ending, 100)}
-	r.p = New(Options{Loop: r.Loop, Table: epoll.NewTable(limit), Counters: &r.Count, ConnectTimeout: 250, KeepAlive: 15000, Reports: true})
+	r.p = New(Options{Loop: r.Loop, Table: loop.NewTable(limit), Counters: &r.Count, ConnectTimeout: 250, KeepAlive: 15000, Reports: true})
 	r.p.Listen(r)
 	t.Cleanup(func() {
 		r.Do(r.p.Close)
