--- /dev/null
+++ b/cmd/saltlab/main.go
@@ -0,0 +1,51 @@
+// Saltlab is the laboratory: it plays balancers on a virtual clock against scripted faults.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes.
+const (
+	exitViolation = 1 // a rule was broken, or what was asked for failed
+	exitUsage     = 2 // the command line or a script can't be used
+)
+
+// violation ends a command whose output has told what was broken.
+type violation struct{ text string }
+
+func (v violation) Error() string { return v.text }
+
+func main() { os.Exit(execute(os.Args[1:])) }
+
+func execute(args []string) int {
+	root := &cobra.Command{
+		Use:   "saltlab",
+		Short: "Plays balancers on a virtual clock against scripted faults",
+		Long: `Saltlab plays the balancer's own code on a virtual clock and a virtual network, with stand-ins for
+callers, upstreams and discovery, against faults that are scripted from a seed, and judges what passes by the rules.
+
+Exit status: 0 all rules kept, 1 a rule was broken or a script did not do what was asked, 2 bad usage.`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(simCommand(), replayCommand(), shrinkCommand(), kindsCommand())
+	root.SetArgs(args)
+	err := root.Execute()
+	var v violation
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &v):
+		if v.text != "" {
+			fmt.Fprintln(os.Stderr, "saltlab: "+v.text)
+		}
+		return exitViolation
+	}
+	fmt.Fprintln(os.Stderr, "saltlab: "+err.Error())
+	return exitUsage
+}
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -4,7 +4,13 @@
 
 import "sync/atomic"
 
-var broken atomic.Uint64
+var (
+	broken atomic.Uint64
+	strict atomic.Bool
+)
+
+// Strict makes every build panic at a breach, for programs that look for them.
+func Strict() { strict.Store(true) }
 
 // Check notes a breach of what must hold. What names it, for the panic of a debug build.
 func Check(holds bool, what string) {
@@ -12,7 +18,7 @@
 		return
 	}
 	broken.Add(1)
-	if Debug {
+	if Debug || strict.Load() {
 		panic("invariant broken: " + what)
 	}
 }
--- /dev/null
+++ b/internal/lab/standin/link.go
@@ -0,0 +1,227 @@
+// Package standin is what a balancer stands between, written from the protocol: upstreams with a model of their
+// service, callers and the front that deals them out, and discovery. All of it runs on loops, so it is the same on
+// the virtual clock and on real sockets; what it sees on the wire it tells a Witness.
+package standin
+
+import (
+	"errors"
+	"net/netip"
+
+	"golang.org/x/sys/unix"
+
+	"salttrack/internal/loop"
+	"salttrack/internal/timer"
+)
+
+// Host is the process in which a stand-in lives.
+type Host interface {
+	Loop() *loop.Loop
+	Name() string
+	// Stamp is when the byte read last from a descriptor was written by the other side, as far as that can be told.
+	Stamp(fd int) float64
+	// Peer names the process at the other end of a connection, "" if that can't be told.
+	Peer(fd int) string
+}
+
+// link is one connection of a stand-in: what is written waits in it until the kernel takes it.
+type link struct {
+	host   Host
+	fd     int
+	up     bool
+	closed bool
+	unsent []byte
+	ending bool // the sending ends once all is written
+	last   bool // the connection is closed once all is written
+	pause  float64
+	paused *timer.Timer
+	ready  func()         // it has come up
+	data   func(p []byte) // bytes came
+	over   func(error)    // it has ended or broken: told once, not if closed from this side
+	wrote  func()         // all is written
+}
+
+var errEnded = errors.New("ended")
+
+// dial begins a connection.
+func dial(h Host, a netip.AddrPort) (*link, error) {
+	fd, err := h.Loop().Connect(a)
+	if err != nil {
+		return nil, err
+	}
+	k := &link{host: h, fd: fd}
+	if err := h.Loop().Add(fd, loop.In|loop.Out|loop.Hup, k); err != nil {
+		h.Loop().Close(fd)
+		return nil, err
+	}
+	return k, nil
+}
+
+// listener takes connections and hands them on.
+type listener struct {
+	host Host
+	fd   int
+	take func(*link)
+}
+
+func listen(h Host, a netip.AddrPort, take func(*link)) (*listener, error) {
+	fd, err := h.Loop().Listen(a)
+	if err != nil {
+		return nil, err
+	}
+	s := &listener{host: h, fd: fd, take: take}
+	return s, h.Loop().Add(fd, loop.In, s)
+}
+
+// Ready accepts what waits.
+func (s *listener) Ready(uint32) {
+	for s.fd >= 0 {
+		fd, err := s.host.Loop().Accept(s.fd)
+		if err != nil {
+			return
+		}
+		k := &link{host: s.host, fd: fd, up: true}
+		if s.host.Loop().Add(fd, loop.In|loop.Hup, k) != nil {
+			s.host.Loop().Close(fd)
+			continue
+		}
+		s.take(k)
+	}
+}
+
+func (s *listener) close() {
+	if s.fd >= 0 {
+		s.host.Loop().Close(s.fd)
+		s.fd = -1
+	}
+}
+
+// send writes bytes, or keeps them until there is room.
+func (k *link) send(p []byte) {
+	if k.closed {
+		return
+	}
+	k.unsent = append(k.unsent, p...)
+	k.flush()
+}
+
+func (k *link) flush() {
+	if !k.up || k.closed {
+		return
+	}
+	for len(k.unsent) > 0 {
+		n, err := k.host.Loop().Write(k.fd, k.unsent)
+		if err != nil {
+			k.fail(err)
+			return
+		}
+		if n == 0 {
+			k.watch()
+			return
+		}
+		k.unsent = k.unsent[n:]
+	}
+	k.unsent = nil
+	k.watch()
+	switch {
+	case k.last:
+		k.close()
+	case k.ending:
+		k.ending = false
+		k.host.Loop().EndSending(k.fd)
+	}
+	if k.wrote != nil {
+		k.wrote()
+	}
+}
+
+func (k *link) watch() {
+	if k.closed {
+		return
+	}
+	events := uint32(0)
+	if k.paused == nil {
+		events = loop.In | loop.Hup
+	}
+	if len(k.unsent) > 0 || !k.up {
+		events |= loop.Out
+	}
+	k.host.Loop().Watch(k.fd, events)
+}
+
+// Ready handles what the kernel tells.
+func (k *link) Ready(events uint32) {
+	if !k.up {
+		if err := k.host.Loop().Failed(k.fd); err != nil || events&loop.Error != 0 {
+			if err == nil {
+				err = unix.ECONNREFUSED
+			}
+			k.fail(err)
+			return
+		}
+		if events&loop.Out == 0 {
+			return
+		}
+		k.up = true
+		if k.ready != nil {
+			k.ready()
+		}
+	}
+	if events&loop.Out != 0 {
+		k.flush()
+	}
+	if !k.closed && k.paused == nil && events&^loop.Out != 0 {
+		k.read()
+	}
+}
+
+// read takes what has come; one that reads slowly takes little, and then nothing for a while.
+func (k *link) read() {
+	most := 16 << 10
+	if k.pause > 0 {
+		most = 512
+	}
+	buf := make([]byte, most)
+	for !k.closed && k.paused == nil {
+		n, err := k.host.Loop().Read(k.fd, buf)
+		switch {
+		case err == unix.EAGAIN:
+			return
+		case err != nil:
+			k.fail(err)
+		case n == 0:
+			k.fail(errEnded)
+		default:
+			if k.pause > 0 {
+				k.paused = k.host.Loop().After(k.pause, func() {
+					k.paused = nil
+					if !k.closed {
+						k.watch()
+						k.read()
+					}
+				})
+				k.watch()
+			}
+			k.data(buf[:n])
+		}
+	}
+}
+
+func (k *link) fail(err error) {
+	if k.closed {
+		return
+	}
+	k.close()
+	if k.over != nil {
+		k.over(err)
+	}
+}
+
+func (k *link) close() {
+	if k.closed {
+		return
+	}
+	k.closed = true
+	k.host.Loop().Timers.Stop(k.paused)
+	k.paused = nil
+	k.host.Loop().Close(k.fd)
+}
--- /dev/null
+++ b/internal/lab/vnet/clock.go
@@ -0,0 +1,115 @@
+package vnet
+
+import "salttrack/internal/lab/stream"
+
+// event is something that happens at a time: a turn of a process, the arrival of what a pipe carries, or a call.
+type event struct {
+	at   float64
+	tie  uint64 // decides between events of one instant; drawn from the seed
+	proc *Process
+	turn uint64 // of proc: an event for a turn that was moved is passed over
+	pipe *pipe
+	do   func()
+}
+
+func (e *event) before(o *event) bool { return e.at < o.at || e.at == o.at && e.tie < o.tie }
+
+// queue is a heap of events by time.
+type queue []event
+
+func (q *queue) push(e event) {
+	h := append(*q, e)
+	i := len(h) - 1
+	for i > 0 {
+		up := (i - 1) / 2
+		if !h[i].before(&h[up]) {
+			break
+		}
+		h[i], h[up] = h[up], h[i]
+		i = up
+	}
+	*q = h
+}
+
+func (q *queue) pop() event {
+	h := *q
+	first, last := h[0], len(h)-1
+	h[0] = h[last]
+	h[last] = event{}
+	h = h[:last]
+	for i := 0; ; {
+		least := i
+		for c := 2*i + 1; c <= 2*i+2 && c < last; c++ {
+			if h[c].before(&h[least]) {
+				least = c
+			}
+		}
+		if least == i {
+			break
+		}
+		h[i], h[least] = h[least], h[i]
+		i = least
+	}
+	*q = h
+	return first
+}
+
+// Now is the time of the present step, in milliseconds.
+func (n *Net) Now() float64 { return n.now }
+
+// Steps is how many steps were taken, and Hash a running hash over all of them: over their times, whose turn it was,
+// and what was carried.
+func (n *Net) Steps() uint64 { return n.steps }
+
+// Hash is the running hash over all steps.
+func (n *Net) Hash() uint64 { return n.hash }
+
+// push enters an event. Events of one instant come in an order that the seed decides: by the one they come from and
+// how many came from it before, so that an event more elsewhere moves nothing.
+func (n *Net) push(e event, from uint64, count *uint64) {
+	*count++
+	e.at = max(e.at, n.now)
+	e.tie = stream.Mix(from, *count)
+	n.queue.push(e)
+}
+
+// At calls do at a time, or now if that is past. Name decides its place among the events of that instant.
+func (n *Net) At(at float64, name string, do func()) {
+	var once uint64
+	n.push(event{at: at, do: do}, stream.Hash(n.seed, name), &once)
+}
+
+// Run takes steps until the given time, or until Stop.
+func (n *Net) Run(until float64) {
+	for !n.stopped && len(n.queue) > 0 && n.queue[0].at <= until {
+		e := n.queue.pop()
+		n.now = e.at
+		switch {
+		case e.proc != nil:
+			if e.turn == e.proc.turn && !e.proc.dead {
+				n.step(1, e.proc.id)
+				e.proc.run()
+			}
+		case e.pipe != nil:
+			e.pipe.deliver()
+		default:
+			n.step(3, 0)
+			e.do()
+		}
+	}
+	if !n.stopped {
+		n.now = max(n.now, until)
+	}
+}
+
+// step counts a step and folds it into the hash.
+func (n *Net) step(kind, what uint64) {
+	n.steps++
+	n.hash = stream.Mix(stream.Mix(n.hash, uint64(n.now*1e6)), kind<<56^what)
+}
+
+// Stop ends Run after the present step.
+func (n *Net) Stop() { n.stopped = true }
+
+// Stopped reports whether Stop was called.
+func (n *Net) Stopped() bool { return n.stopped }
--- /dev/null
+++ b/internal/lab/world/site.go
@@ -0,0 +1,122 @@
+package world
+
+import (
+	"net/netip"
+
+	"salttrack/internal/lab/stream"
+	"salttrack/internal/lab/vnet"
+	"salttrack/internal/loop"
+	"salttrack/internal/node"
+
+	"github.com/sirupsen/logrus"
+)
+
+// host is a process in which a stand-in lives. It is a standin.Host.
+type host interface {
+	Loop() *loop.Loop
+	Name() string
+	Stamp(fd int) float64
+	Peer(fd int) string
+	Kill()
+}
+
+// runner is one running balancer.
+type runner interface {
+	kill()
+	term()
+	reload(c []byte)
+}
+
+// site is where a world stands: the virtual network, or this machine.
+type site interface {
+	now() float64
+	// at calls do at a time, with no stand-in at work meanwhile.
+	at(t float64, name string, do func())
+	spawn(name, machine, zone string) host
+	// begin lets a host run.
+	begin(h host)
+	// balancer starts one by a configuration. Ended is called once it has ended in order.
+	balancer(name, machine, zone string, config []byte, ended func(*end)) runner
+	// network is the virtual network, nil on real sockets.
+	network() *vnet.Net
+}
+
+// end is what is known of a balancer that has ended in order.
+type end struct {
+	left        string // what it still holds
+	descriptors int
+	counter     func(string) uint64 // nil if the counters can't be read
+}
+
+// virtual is a site on the virtual network.
+type virtual struct {
+	net  *vnet.Net
+	log  *logrus.Entry
+	host map[string]*vnet.Process // by name
+}
+
+func newVirtual(net *vnet.Net, log *logrus.Entry) *virtual {
+	return &virtual{net: net, log: log, host: map[string]*vnet.Process{}}
+}
+
+func (v *virtual) now() float64                         { return v.net.Now() }
+func (v *virtual) at(t float64, name string, do func()) { v.net.At(t, name, do) }
+func (v *virtual) network() *vnet.Net                   { return v.net }
+
+// fdsOfStandins is more than any stand-in needs.
+const fdsOfStandins = 1 << 16
+
+func (v *virtual) spawn(name, machine, zone string) host {
+	p := v.net.Spawn(name, machine, zone, fdsOfStandins)
+	v.host[name] = p
+	return p
+}
+
+func (v *virtual) begin(h host) { h.(*vnet.Process).Begin(nil) }
+
+// virtualNode is a balancer in a process of the virtual network.
+type virtualNode struct {
+	p *vnet.Process
+	b *node.Balancer
+}
+
+func (v *virtual) balancer(name, machine, zone string, config []byte, ended func(*end)) runner {
+	c, err := node.Parse(config, nil)
+	if err != nil {
+		panic(err) // it is the laboratory's own
+	}
+	p := v.net.Spawn(name, machine, zone, c.Limits.Sockets)
+	v.host[name] = p
+	n := &virtualNode{p: p, b: node.New(c, p.Loop(), v.log)}
+	p.Loop().Post(func() {
+		if err := n.b.Start(); err != nil {
+			panic(name + ": " + err.Error())
+		}
+	})
+	p.Begin(func() {
+		n.b.Close()
+		ended(&end{left: n.b.Left(), descriptors: p.Descriptors(), counter: func(name string) uint64 {
+			value, _ := n.b.Counters.Value(name)
+			return value
+		}})
+	})
+	return n
+}
+
+func (n *virtualNode) kill() { n.p.Kill() }
+func (n *virtualNode) term() {
+	n.p.Loop().Post(func() { n.b.Drain(n.p.Loop().Stop) })
+}
+
+func (n *virtualNode) reload(config []byte) {
+	c, err := node.Parse(config, nil)
+	n.p.Loop().Post(func() { n.b.Reconfigure(c, err) })
+}
+
+// seedOf is the seed of a process's own random numbers.
+func seedOf(seed uint64, name string) uint64 { return stream.Hash(seed, "process/"+name) }
+
+// netipPort is an address with another port.
+func netipPort(a netip.AddrPort, port int) netip.AddrPort {
+	return netip.AddrPortFrom(a.Addr(), uint16(port))
+}
