A request that came while the process had no core is timed from before the wait

Checked: the trace shows the request arriving during the loss, X-Remaining told upstream as if it had just come. Ruled out: timers (they ran at once after), a slow upstream (it answered in time for what it was told).

Cause: Loop.Turn timed what came in a wait from the wait's end. A process kept from its core in the wait can't know better, but a wait that took longer than it asked for tells that it had none.

Change: such a wait counts what it finds from its beginning; one wait of a balancer takes 25 ms at most, so that a shorter loss hides no more. Also: a process that spins (50,000 turns a second) is a violation, a balancer must owe nothing after the last deadline, and hold no timer or watched descriptor at its end.

--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -191,8 +191,11 @@
 		s.Loop.Close(s.fd)
 		s.fd = -1
 		s.closeWaiting(false)
-		s.Loop.After(halfMost, func() { s.closeWaiting(true) })
-		s.finish(done)
+		half := s.Loop.After(halfMost, func() { s.closeWaiting(true) })
+		s.finish(func() {
+			s.Loop.Timers.Stop(half)
+			done()
+		})
 	})
 }
 
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -31,6 +31,7 @@
 
 	open     map[balance.RequestID]*exchange.Exchange
 	timeouts map[*exchange.Attempt]*timer.Timer
+	wakeups  int // timers of the module that are set
 	next     balance.RequestID
 	queue    []balance.Event // what happened while an event was handled
 	busy     bool
@@ -100,6 +101,9 @@
 // Held is the number of exchanges that are known, owed an answer or not.
 func (d *Driver) Held() int { return len(d.open) }
 
+// Wakeups is the number of the module's own timers that are set.
+func (d *Driver) Wakeups() int { return d.wakeups }
+
 // Out is the number of attempts that are awaited.
 func (d *Driver) Out() int { return len(d.timeouts) }
 
@@ -188,7 +192,9 @@
 		switch a.Kind {
 		case balance.ActTimer:
 			cookie := a.Cookie
+			d.wakeups++
 			d.timers.Set(d.now()+max(0, a.After), func() {
+				d.wakeups--
 				d.handle(&balance.Event{Kind: balance.EventTimer, Cookie: cookie})
 			})
 		case balance.ActTrack: // the list is always watched, asked for or not
--- a/internal/lab/standin/link.go
+++ b/internal/lab/standin/link.go
@@ -166,6 +166,10 @@
 			k.ready()
 		}
 	}
+	if events&loop.Error != 0 && k.paused != nil { // it has broken: nothing is worth waiting for
+		k.host.Loop().Timers.Stop(k.paused)
+		k.paused = nil
+	}
 	if events&loop.Out != 0 {
 		k.flush()
 	}
--- a/internal/lab/vnet/process.go
+++ b/internal/lab/vnet/process.go
@@ -1,6 +1,7 @@
 package vnet
 
 import (
+	"fmt"
 	"net/netip"
 
 	"golang.org/x/sys/unix"
@@ -33,6 +34,8 @@
 	turnAt    float64 // when
 	planned   bool
 	events    uint64 // pushed
+	spin      int    // turns since spinFrom
+	spinFrom  float64
 	connected uint64
 	listened  netip.AddrPort // where it listens, or did
 	woken     bool
@@ -44,6 +47,10 @@
 // Span is a piece of time.
 type Span struct{ From, To float64 }
 
+// spinMost is how many turns a process may have within a second. One that leaves an event unhandled has them without
+// end, and would keep a core busy.
+const spinMost = 50000
+
 // firstFD is the first number that a socket gets.
 const firstFD = 3
 
@@ -125,6 +132,11 @@
 		return
 	}
 	p.planned, p.woken = false, false
+	if p.spin++; p.net.now-p.spinFrom >= 1000 {
+		p.spin, p.spinFrom = 0, p.net.now
+	} else if p.spin > spinMost {
+		panic(fmt.Sprintf("%s has had %d turns within a second: something stays ready and is not handled", p.name, p.spin))
+	}
 	p.working = true
 	err := p.loop.Turn()
 	p.working = false
@@ -167,7 +179,7 @@
 
 // Wait returns what is ready. It never waits: the turn itself is planned for when there is something.
 func (p *Process) Wait(into []loop.Event, _ int) (int, error) {
-	p.clock = max(p.clock, p.net.now)
+	p.work()
 	list := p.ready
 	if len(list) > 1 { // the kernel promises no order
 		p.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
--- a/internal/lab/vnet/sock.go
+++ b/internal/lab/vnet/sock.go
@@ -160,9 +160,13 @@
 		return
 	}
 	s.reset = true
-	s.err = unix.ECONNRESET
-	if s.connecting {
+	switch {
+	case s.connecting:
 		s.err = unix.ECONNREFUSED
+	case s.ended:
+		s.err = unix.EPIPE
+	default:
+		s.err = unix.ECONNRESET
 	}
 	s.proc.poke(s)
 }
--- a/internal/lab/world/site.go
+++ b/internal/lab/world/site.go
@@ -25,6 +25,8 @@
 	kill()
 	term()
 	reload(c []byte)
+	// owed is what it has to do still, "" for nothing, or if that can't be told.
+	owed() string
 }
 
 // site is where a world stands: the virtual network, or this machine.
@@ -103,7 +105,8 @@
 	return n
 }
 
-func (n *virtualNode) kill() { n.p.Kill() }
+func (n *virtualNode) owed() string { return n.b.Owed() }
+func (n *virtualNode) kill()        { n.p.Kill() }
 func (n *virtualNode) term() {
 	n.p.Loop().Post(func() { n.b.Drain(n.p.Loop().Stop) })
 }
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -480,6 +480,11 @@
 		if b.down && b.stage == 0 {
 			w.Oracle.Break(oracle.Unresponsive, w.site.now(), "the laboratory's own: %s is down at the end", b.name)
 		}
+		if !b.down && !b.ending { // long after the last deadline nothing may be open
+			if owed := b.run.owed(); owed != "" {
+				w.Oracle.Break(oracle.Left, w.site.now(), "%s still has %s, %.0f ms after the last request", b.name, owed, quietFor)
+			}
+		}
 		b.term()
 	}
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -62,8 +62,10 @@
 	Wake()
 }
 
-// waited is how long a wait in the kernel, in milliseconds, is no mere call any more.
-const waited = 0.5
+const (
+	waited    = 0.5 // ms that a wait in the kernel takes if it is no mere call
+	overslept = 5.0 // ms that a wait may take longer than it was asked to; beyond, the process had no core
+)
 
 // Handler is told when its descriptor is ready.
 type Handler interface {
@@ -89,6 +91,7 @@
 	events  [512]Event
 	turned  float64 // when the wait of the last turn ended
 	arrived float64
+	most    int // ms that a wait may take, 0 for no bound
 	stopped bool
 
 	waiting atomic.Bool // something was posted
@@ -105,9 +108,13 @@
 // Now reads the clock, in milliseconds.
 func (l *Loop) Now() float64 { return l.kernel.Now() }
 
+// WaitAtMost bounds how long one wait takes, in whole milliseconds. A process that is kept from its core in a wait
+// can't tell when what it finds after that came; it can only tell that the wait took longer than it asked for.
+func (l *Loop) WaitAtMost(ms int) { l.most = ms }
+
 // Arrived is the time at which what is handled now may have come at the earliest. If the loop had to wait for
 // it, it has just come. Else it may have come at any time of the turn before, which is long when the process
-// was kept from its core.
+// was kept from its core; or at any time of a wait that took longer than it was asked to.
 func (l *Loop) Arrived() float64 { return l.arrived }
 
 // After runs do once the given time has passed.
@@ -191,13 +198,18 @@
 // that were due when it looked at the descriptors: what has come in is seen before a time-out decides that it has
 // not. (A turn in which the process lost its core for 250 ms had timed out connects that were up.)
 func (l *Loop) Turn() error {
-	before := l.Now()
-	n, err := l.kernel.Wait(l.events[:], l.Patience())
+	before, patience := l.Now(), l.Patience()
+	n, err := l.kernel.Wait(l.events[:], patience)
 	if err != nil {
 		return err
 	}
 	after := l.Now()
-	if l.arrived = l.turned; after-before > waited {
+	switch took := after - before; {
+	case took <= waited:
+		l.arrived = l.turned
+	case patience >= 0 && took > float64(patience)+overslept:
+		l.arrived = before
+	default:
 		l.arrived = after
 	}
 	l.turned = after
@@ -218,11 +230,14 @@
 
 // Patience is how long a turn may wait for descriptors, in whole milliseconds, rounded up; -1 is without end.
 func (l *Loop) Patience() int {
-	at, ok := l.Timers.Next()
-	if !ok {
-		return -1
+	ms := -1
+	if at, ok := l.Timers.Next(); ok {
+		ms = int(math.Ceil(min(60000, max(0, at-l.Now()))))
+	}
+	if l.most > 0 && (ms < 0 || ms > l.most) {
+		ms = l.most
 	}
-	return int(math.Ceil(min(60000, max(0, at-l.Now()))))
+	return ms
 }
 
 // runPosted runs what other goroutines have posted.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	ownSockets   = 20  // the loop's, the listener, discovery, the standard streams, the runtime's
 	spareSockets = 32  // for callers that come when all others are in use
 	readyWithin  = 500 // ms that the start waits for discovery before it serves by the list it knows
+	blindMost    = 25  // ms of one wait of the loop: a request may have come so much earlier than it is timed from
 )
 
 // Balancer is all parts of one. Its methods are called on its loop.
@@ -46,6 +47,7 @@
 // New returns a balancer that does nothing yet.
 func New(c *Config, l *loop.Loop, log *logrus.Entry) *Balancer {
 	b := &Balancer{config: c, log: log, loop: l, started: l.Now(), book: discovery.NewBook(c.Settings.ZoneNames)}
+	l.WaitAtMost(blindMost)
 	spare := min(spareSockets, c.Limits.Sockets/16)
 	b.table = loop.NewTable(c.Limits.Sockets - ownSockets - spare)
 	b.list = discovery.NewFollower(discovery.Options{Loop: l, Address: c.Discovery, Revision: c.Known.Revision,
@@ -101,13 +103,22 @@
 	b.log.WithField("counters", b.Counters.String()).Info("end")
 }
 
+// Owed says what a balancer still has to do for its callers and upstreams, "" if that is nothing.
+func (b *Balancer) Owed() string {
+	if b.driver.Open() == 0 && b.driver.Held() == 0 && b.driver.Out() == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d requests, %d exchanges, %d attempts", b.driver.Open(), b.driver.Held(), b.driver.Out())
+}
+
 // Left says what a balancer that has ended still holds, "" if that is nothing.
 func (b *Balancer) Left() string {
 	var left []string
 	for _, what := range []struct {
 		name string
 		n    int
-	}{{"connections", b.table.Open()}, {"exchanges", b.driver.Held()}, {"requests", b.driver.Open()}, {"attempts", b.driver.Out()}} {
+	}{{"connections", b.table.Open()}, {"exchanges", b.driver.Held()}, {"requests", b.driver.Open()}, {"attempts", b.driver.Out()},
+		{"timers", b.loop.Timers.Len() - b.driver.Wakeups()}, {"watches", b.loop.Watched()}} {
 		if what.n != 0 {
 			left = append(left, fmt.Sprintf("%d %s", what.n, what.name))
 		}
