--- /dev/null
+++ b/internal/lab/hunt/hunt_test.go
@@ -0,0 +1,44 @@
+package hunt
+
+import (
+	"testing"
+
+	"salttrack/internal/lab/script"
+	"salttrack/internal/lab/world"
+)
+
+// The same seeds give the same summary, on one core and on eight.
+func TestJobs(t *testing.T) {
+	shape := script.Shape{Seconds: 4}
+	one, eight := Run(Plan{First: 1, Seeds: 50, Jobs: 1, Shape: shape}), Run(Plan{First: 1, Seeds: 50, Jobs: 8, Shape: shape})
+	if one.Hash != eight.Hash || one.Steps != eight.Steps || one.Count != eight.Count {
+		t.Errorf("%+v\n%+v", one, eight)
+	}
+	if len(one.Violations) > 0 {
+		t.Error(one.Violations)
+	}
+	if one.Seeds != 50 || one.Count.Asked < 5000 {
+		t.Errorf("%+v", one)
+	}
+}
+
+// A hunt ends when it is told to, and passes results on in the order of the seeds.
+func TestStop(t *testing.T) {
+	var seen []uint64
+	s := Run(Plan{First: 5, Seeds: 40, Jobs: 4, Shape: script.Shape{Seconds: 1}, Done: func(r *world.Result) bool {
+		seen = append(seen, r.Seed)
+		return len(seen) < 3
+	}})
+	if s.Seeds != 3 || len(seen) != 3 || seen[0] != 5 || seen[2] != 7 {
+		t.Errorf("%d seeds, %v", s.Seeds, seen)
+	}
+}
+
+// To shrink what breaks nothing leaves it as it is.
+func TestShrinkOfNothing(t *testing.T) {
+	s := script.FromSeed(2, script.Shape{Seconds: 1})
+	small, played := Shrink(s, "lost", 5, nil)
+	if len(small.Faults) != len(s.Faults) || played == 0 || played > 5 {
+		t.Errorf("%d faults after %d plays", len(small.Faults), played)
+	}
+}
--- /dev/null
+++ b/internal/lab/planted/planted_test.go
@@ -0,0 +1,211 @@
+// Package planted shows that the laboratory finds defects: each is planted in the balancer's source by an overlay of
+// the build, which no binary that ships ever sees.
+package planted
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"salttrack/internal/lab/hunt"
+)
+
+// edit replaces one piece of a source file.
+type edit struct{ file, old, new string }
+
+// defects are those planted, each with the rules by which it may be found.
+var defects = []struct {
+	name  string
+	rules string
+	quick bool // planted in every run of the tests, not only by make planted
+	edits []edit
+}{
+	{"drain ignored", "drain", true, []edit{
+		{"internal/discovery/members.go", `"terminating": balance.Draining`, `"terminating": balance.Ready`}}},
+	{"an unsafe request repeated after a reset", "twice", false, []edit{
+		{"balance/api.go", `return o == Full || o == ConnectFailed || o >= Moot`, `return o == Full || o == ConnectFailed || o == Reset || o >= Moot`}}},
+	{"a keyed request sent to another zone", "twice", false, []edit{
+		{"balance/balance.go", `return c.Group == GroupAll || was.zone == u.zone && (c.Group == GroupZone || was.Cell == u.Cell)`,
+			`return c.Group == GroupAll || was.zone != u.zone || c.Group == GroupZone`}}},
+	{"a second answer", "second", false, []edit{
+		{"internal/downstream/conn.go", `	c.timeout(writeMost, c.broke)
+	c.write()`, `	if c.timeout(writeMost, c.broke); status == 503 {
+		c.unsent = append(c.unsent, c.unsent...)
+	}
+	c.write()`}}},
+	{"a late answer", "late lost", false, []edit{
+		{"internal/driver/driver.go", `now, until := d.now(), x.Expires`, `now, until := d.now(), x.Expires+300`},
+		{"internal/driver/driver.go", `ExpiresIn: max(0, x.Expires-d.now())})`, `ExpiresIn: max(0, x.Expires+300-d.now())})`}}},
+	{"a cold upstream overdriven", "cold", false, []edit{
+		{"balance/balance.go", `return u.tokens >= 1 || b.warmth(u) == 1 }`, `return true }`}}},
+	{"a leaked descriptor", "left-over", false, []edit{
+		{"internal/discovery/watch.go", `		w.Loop.Close(w.fd)
+		w.fd = -1`, `		if w.fd = -1; w.answered && !w.up {
+			w.Loop.Close(w.fd)
+		}`}}},
+	{"a leaked timer", "left-over", false, []edit{
+		{"internal/upstream/upstream.go", `	c.closed = true
+	c.leaveIdle()
+	c.pool.loop.Timers.Stop(c.timer)`, `	c.closed = true
+	c.leaveIdle()`}}},
+	{"a leaked exchange", "left-over", false, []edit{
+		{"internal/driver/driver.go", `if x.Idle() && d.open[x.ID] == x {`, `if x.Idle() && d.open[x.ID] == x && x.Verdict() != exchange.Left {`}}},
+	{"an answer crossed between requests", "crossed", false, []edit{
+		{"internal/upstream/upstream.go", `	if c := p.out[a]; c != nil {
+		c.detach()
+		c.close()`, `	if c := p.out[a]; c != nil {
+		c.detach()
+		if c.connecting || !a.Whole || c.dec.Begun() || c.target.gone {
+			c.close()
+			return
+		}
+		c.rest()`}}},
+	{"an old connection used for a new id at the same address", "drain", false, []edit{
+		{"internal/upstream/upstream.go", `		p.drop(t)
+		t.gone = true
+		delete(p.ups, id)`, `		t.gone = true`},
+		{"internal/upstream/upstream.go", `		t = &target{}
+		p.ups[id] = t`, `		t = &target{}
+		for _, o := range p.ups {
+			if o.addr == addr && o.gone {
+				t = o
+				t.gone, t.started = false, started
+			}
+		}
+		p.ups[id] = t`}}},
+	{"a refusal after a run", "refusal", false, []edit{
+		{"balance/balance.go", `harmless := r.mayRun < 0 || c.Effect == Safe ||`, `harmless := true || c.Effect == Safe ||`},
+		{"internal/driver/driver.go", `x.Verdict() != exchange.Open || d.effect[x.Class].tells || x.NeverRan()`, `true`}}},
+	{"a watch that loses an update", "drain", false, []edit{
+		{"internal/discovery/watch.go", `w.revision = u.Revision`, `w.revision = u.Revision + 1`}}},
+	{"an attempt after the final answer", "after-answer", false, []edit{
+		{"internal/driver/driver.go", `	if x.Verdict() != exchange.Open {
+		d.counters.ends[balance.Moot].Inc()`, `	if false {
+		d.counters.ends[balance.Moot].Inc()`},
+		{"internal/exchange/exchange.go", `invariant.Check(x.verdict == Open, "nothing goes out after the final answer")`, `invariant.Check(true, "")`},
+		{"balance/balance.go", `	r.done = true
+`, `	r.done = r.out == 0
+`}}},
+	{"a request hidden in another's body", "rude unasked", true, []edit{
+		{"internal/http1/http1.go", `if d.frame.coded && d.frame.length >= 0 {`, `if false {`}}},
+	{"time given twice after a lost core", "late", false, []edit{
+		{"internal/loop/loop.go", `		l.arrived = before
+`, `		l.arrived = after
+`}}},
+	{"an event of a closed descriptor told to the next one", "crash lost", false, []edit{
+		{"internal/loop/loop.go", `s.handler != nil && s.gen == e.Pad && s.first == first`, `s.handler != nil && s.first == first`}}},
+	{"a silent connection never closed", "rude", false, []edit{
+		{"internal/downstream/conn.go", `		c.timeout(requestMost, c.tooSlow)
+	default:`, `	default:`}}},
+	{"an event left unhandled", "crash", false, []edit{
+		{"internal/downstream/conn.go", `		if events&(loop.Hup|loop.Error) != 0 {
+			c.left()
+		}`, ``}}},
+}
+
+const root = "../../.."
+
+// plant builds saltlab with a defect and returns the binary.
+func plant(t *testing.T, edits []edit) string {
+	t.Helper()
+	dir := t.TempDir()
+	replace := map[string]string{}
+	text := map[string]string{}
+	for _, e := range edits {
+		if _, ok := text[e.file]; !ok {
+			p, err := os.ReadFile(filepath.Join(root, e.file))
+			if err != nil {
+				t.Fatal(err)
+			}
+			text[e.file] = string(p)
+		}
+		if n := strings.Count(text[e.file], e.old); n != 1 {
+			t.Fatalf("%s holds %d times what the defect replaces: %q", e.file, n, e.old)
+		}
+		text[e.file] = strings.Replace(text[e.file], e.old, e.new, 1)
+	}
+	for file, s := range text {
+		abs, err := filepath.Abs(filepath.Join(root, file))
+		if err != nil {
+			t.Fatal(err)
+		}
+		planted := filepath.Join(dir, strings.ReplaceAll(file, "/", "_"))
+		if err := os.WriteFile(planted, []byte(s), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		replace[abs] = planted
+	}
+	overlay := filepath.Join(dir, "overlay.json")
+	p, _ := json.Marshal(map[string]any{"Replace": replace})
+	if err := os.WriteFile(overlay, p, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	bin := filepath.Join(dir, "saltlab")
+	cmd := exec.Command("go", "build", "-overlay", overlay, "-o", bin, "./cmd/saltlab")
+	cmd.Dir = root
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return bin
+}
+
+// TestFound plants each defect and lets the laboratory look for it: within 300 seeds a rule that it breaks must be
+// found broken, and the script must become smaller with the same rule broken.
+func TestFound(t *testing.T) {
+	all := os.Getenv("PLANTED") != ""
+	if all {
+		fmt.Println("| defect | rule | seeds until found | faults, seconds | after shrinking |\n| --- | --- | --- | --- | --- |")
+	}
+	for _, d := range defects {
+		if !all && !d.quick {
+			continue
+		}
+		t.Run(strings.ReplaceAll(d.name, " ", "-"), func(t *testing.T) {
+			bin := plant(t, d.edits)
+			dir := t.TempDir()
+			out, err := exec.Command(bin, "sim", "--seeds", "300", "--stop", "--json", "-").Output()
+			var exit *exec.ExitError
+			if !errors.As(err, &exit) || exit.ExitCode() != 1 {
+				t.Fatalf("not found: %v", err)
+			}
+			var r struct {
+				hunt.Summary
+				Found []struct {
+					Seed       uint64
+					Violations []struct{ Rule, Text string }
+				}
+			}
+			if err := json.Unmarshal(out, &r); err != nil {
+				t.Fatal(err)
+			}
+			first := r.Found[0]
+			rule := first.Violations[0].Rule
+			if !strings.Contains(" "+d.rules+" ", " "+rule+" ") {
+				t.Errorf("found as %s, want %s: %s", rule, d.rules, first.Violations[0].Text)
+			}
+			whole, small := filepath.Join(dir, "whole.toml"), filepath.Join(dir, "small.toml")
+			exec.Command(bin, "sim", "--seed", fmt.Sprint(first.Seed), "--save", whole).Run()
+			var text strings.Builder
+			shrink := exec.Command(bin, "shrink", whole, "--rule", rule, "--out", small, "--tries", "120")
+			shrink.Stderr = &text
+			if err := shrink.Run(); err != nil {
+				t.Fatalf("shrink: %v %s", err, text.String())
+			}
+			if err := exec.Command(bin, "replay", small).Run(); !errors.As(err, &exit) || exit.ExitCode() != 1 {
+				t.Errorf("the smaller script breaks nothing: %v", err)
+			}
+			if all {
+				var left, of, plays int
+				var sec, ofSec float64
+				_, after, _ := strings.Cut(text.String(), ": ")
+				fmt.Sscanf(after, "%d of %d faults, %f of %f s left after %d plays", &left, &of, &sec, &ofSec, &plays)
+				fmt.Printf("| %s | %s | %d | %d, %.0f s | %d, %.1f s |\n", d.name, rule, first.Seed, of, ofSec, left, sec)
+			}
+		})
+	}
+}
