--- a/cmd/saltlab/main.go
+++ b/cmd/saltlab/main.go
@@ -33,7 +33,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(simCommand(), replayCommand(), shrinkCommand(), kindsCommand())
+	root.AddCommand(simCommand(), replayCommand(), shrinkCommand(), kindsCommand(), realCommand())
 	root.SetArgs(args)
 	err := root.Execute()
 	var v violation
--- a/internal/lab/oracle/oracle_test.go
+++ b/internal/lab/oracle/oracle_test.go
@@ -110,6 +110,14 @@
 			o.Answered("a", 503, nil, 200)
 			sent(o, "a", "u", 201)
 		}},
+		{"sent after the caller left", After, site{}, func(o *Oracle) {
+			o.Left("a", 200)
+			sent(o, "a", "u", 251)
+		}},
+		{"sent as the caller left", "", site{}, func(o *Oracle) {
+			o.Left("a", 200)
+			sent(o, "a", "u", 249)
+		}},
 		{"sent to one that drains", Drain, site{}, func(o *Oracle) {
 			o.Told("b.1", "u", "terminating", 0, 100)
 			sent(o, "a", "u", 401)
--- a/internal/lab/standin/upstream.go
+++ b/internal/lab/standin/upstream.go
@@ -208,7 +208,7 @@
 	if f := u.Trouble.Costly[class]; f > 0 && u.draw("costly").Chance(u.Trouble.CostlyOf) {
 		cost *= f
 	}
-	if u.svc.overdriven(now, cost) {
+	if u.svc.overdriven(now, u.Costs[class].Mean) { // what it really costs no balancer can know
 		u.Witness.Fell(u.ID, u.svc.began, now)
 		if u.Fell != nil {
 			u.Fell()
