Requests that two readers may read differently get 400: bare LF, dot segments, encoded slashes

Need: /read/../pay/x passed as class read, and lines that end in LF alone framed chunks, by which a request can be hidden from one reader and shown to another (RFC 9112 2.2 and 7.1, RFC 3986 6.2.2).

Change: a request's lines end in CR LF, an answer's chunk lines too; a path with dot segments, empty segments, an encoded slash, backslash, dot or NUL, a backslash, a fragment or a broken escape is turned away with 400 before its class is looked for.

--- a/cmd/saltlab/main.go
+++ b/cmd/saltlab/main.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/spf13/cobra"
 )
@@ -20,7 +21,10 @@
 
 func (v violation) Error() string { return v.text }
 
-func main() { os.Exit(execute(os.Args[1:])) }
+func main() {
+	debug.SetGCPercent(400) // a run holds a few MB and makes much that is soon of no use
+	os.Exit(execute(os.Args[1:]))
+}
 
 func execute(args []string) int {
 	root := &cobra.Command{
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -64,13 +64,14 @@
 	left  int64 // of the body or the chunk
 	body  []byte
 	sink  func([]byte) error // takes the body in place of body
+	crlf  bool               // every line has to end in CR LF; else only those that frame chunks
 }
 
 func (d *decoder) reset() {
 	if cap(d.line) > 1024 {
 		d.line = nil
 	}
-	*d = decoder{line: d.line[:0], sink: d.sink, frame: frame{length: -1}}
+	*d = decoder{line: d.line[:0], sink: d.sink, crlf: d.crlf, frame: frame{length: -1}}
 }
 
 // begun reports whether a part of a message has come.
@@ -113,7 +114,10 @@
 				return n, nil
 			}
 			d.line = d.line[:0]
-			line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
+			line, ended := bytes.CutSuffix(line[:len(line)-1], []byte("\r"))
+			if !ended && (d.crlf || d.state > inFields) { // another reader may see the line end elsewhere (RFC 9112, 2.2 and 7.1)
+				return n, bad("line ends in a bare LF")
+			}
 			if err := d.whole(line, h); err != nil {
 				return n, err
 			}
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -31,6 +31,7 @@
 // NewRequestDecoder returns a decoder ready for its first request.
 func NewRequestDecoder() *RequestDecoder {
 	d := &RequestDecoder{}
+	d.crlf = true
 	d.Reset()
 	return d
 }
@@ -73,9 +74,12 @@
 			return bad("malformed method")
 		}
 	}
-	if !ascii(target, '!') {
+	if !ascii(target, '!') || bytes.IndexByte(target, '#') >= 0 {
 		return bad("malformed target")
 	}
+	if path, _, _ := bytes.Cut(target, []byte("?")); !plain(path) {
+		return bad("ambiguous path")
+	}
 	var ok bool
 	if d.conn.minor, ok = version(proto); !ok {
 		return &Error{505, "not HTTP/1"}
@@ -122,6 +126,36 @@
 	return nil
 }
 
+// plain reports whether a path names the same thing to every reader: it has no dot segments and no empty ones, no
+// encoded slash, backslash, dot or NUL, and what is encoded is so in two hexadecimal digits (RFC 3986, 3.3 and 6.2.2).
+// A class found by the first segment of any other might not be what the upstream serves.
+func plain(path []byte) bool {
+	begin := 1 // of the segment
+	for i := 1; i <= len(path); i++ {
+		if i == len(path) || path[i] == '/' {
+			segment := path[begin:i]
+			if len(segment) == 0 && i < len(path) || string(segment) == "." || string(segment) == ".." {
+				return false
+			}
+			begin = i + 1
+			continue
+		}
+		switch path[i] {
+		case '\\':
+			return false
+		case '%':
+			if i+2 >= len(path) {
+				return false
+			}
+			v, err := strconv.ParseUint(string(path[i+1:i+3]), 16, 8)
+			if err != nil || v == '/' || v == '\\' || v == '.' || v == 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // ascii reports whether all bytes are ASCII from the given one on, and no control characters.
 func ascii(p []byte, least byte) bool {
 	for _, c := range p {
--- a/internal/lab/standin/callers.go
+++ b/internal/lab/standin/callers.go
@@ -178,6 +178,8 @@
 	{"silent", "", 1},
 	{"unsafe with a key", "POST /oddaja/x HTTP/1.1\r\nHost: b\r\nX-Txn: r%d\r\nX-Lane: oddaja\r\nIdempotency-Key: k\r\nX-Remaining: 1\r\nContent-Length: 0\r\n\r\n", 1},
 	{"wrong method", "DELETE /status/x HTTP/1.1\r\nHost: b\r\nX-Txn: r%d\r\nX-Lane: status\r\nX-Remaining: 1\r\n\r\n", 1},
+	{"path that leaves its class", "GET /status/../oddaja/x HTTP/1.1\r\nHost: b\r\nX-Txn: r%d\r\nX-Lane: status\r\nX-Remaining: 1\r\n\r\n", 1},
+	{"chunk lines that end in LF", "POST /oddaja/x HTTP/1.1\r\nHost: b\r\nX-Txn: r%d\r\nX-Lane: oddaja\r\nX-Remaining: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\nab\n0\n\n", 1},
 	{"hundreds at once", "GET /nothing/x HTTP/1.1\r\nHost: b\r\nX-Txn: r%d\r\nX-Lane: nothing\r\nX-Remaining: 1\r\n\r\n", 200},
 }
 
--- a/internal/lab/world/world_test.go
+++ b/internal/lab/world/world_test.go
@@ -105,3 +105,10 @@
 		t.Errorf("%+v", r.Count)
 	}
 }
+
+// BenchmarkPlay plays one seed after the other, on one core.
+func BenchmarkPlay(b *testing.B) {
+	for i := range b.N {
+		Play(script.FromSeed(uint64(i+1), script.Shape{Seconds: 10}), Options{})
+	}
+}
