--- a/internal/lab/planted/planted_test.go
+++ b/internal/lab/planted/planted_test.go
@@ -108,8 +108,8 @@
 			b.conclude(r)`}}},
 	{"a request hidden in another's body", "rude unasked", true, []edit{
 		{"internal/http1/http1.go", `if d.frame.coded && d.frame.length >= 0 {`, `if false {`}}},
-	{"a path that is read two ways", "rude unasked", false, []edit{
-		{"internal/http1/request.go", `!plain(path)`, `false`}}},
+	{"a path that is read two ways", "rude unasked counters", false, []edit{
+		{"internal/http1/request.go", `!plain(path)`, `len(path) == 0`}}},
 	{"time given twice after a lost core", "late", false, []edit{
 		{"internal/loop/loop.go", `		l.arrived = before
 `, `		l.arrived = after
