The oracle lets an answer be on its way to a slow reader when its balancer has ended

Checked: the trace shows the answer written whole, the balancer ended, and the caller still reading 512 bytes every 20 ms 300 ms later. The balancer was right.

Cause: the counters were compared at the balancer's end, when a caller may not have read its answer yet.

--- a/internal/lab/oracle/oracle_test.go
+++ b/internal/lab/oracle/oracle_test.go
@@ -169,6 +169,11 @@
 			o.Answered("a", 503, nil, 200)
 			o.Ended("b.1", 300, func(name string) uint64 { return map[string]uint64{"taken": 1, "served": 1}[name] })
 		}},
+		{"counters, and an answer on its way", "", site{}, func(o *Oracle) {
+			ask(o, "slow", safe)
+			o.Answered("a", 503, nil, 200)
+			o.Ended("b.1", 300, func(name string) uint64 { return map[string]uint64{"taken": 2, "served": 1, "refused": 1}[name] })
+		}},
 		{"counters agree", "", site{}, func(o *Oracle) {
 			o.Answered("a", 503, nil, 200)
 			o.Ended("b.1", 300, func(name string) uint64 { return map[string]uint64{"taken": 1, "refused": 1}[name] })
