The stand-ins lose a parameter and two leftovers; a group's memory has one figure

Need: what was left over from building: a value that was always 0, two blanks that kept names in use, one figure twice.

Change: taken out; no behaviour changes.

--- a/internal/lab/standin/callers.go
+++ b/internal/lab/standin/callers.go
@@ -124,7 +124,7 @@
 
 // then says what follows a call: another one after a refusal, while there is time.
 func (c *Callers) then(k *call, retries int, until float64) {
-	k.done = func(how outcome, _ float64) {
+	k.done = func(how outcome) {
 		lp := c.Host.Loop()
 		again := how == refused || how == unsent || how == failed && c.Classes[k.class].Effect == balance.Safe
 		wait := c.Backoff * (0.5 + c.rng.Float64())
@@ -158,7 +158,7 @@
 	})
 }
 
-// rudeness is one kind of bad input. Then is sent once more after a moment, if it is set.
+// rudeness is one kind of bad input, sent so many times at once.
 type rudeness struct {
 	name, text string
 	repeat     int
@@ -215,14 +215,13 @@
 	})
 	k.ready = func() { began = lp.Now() }
 	k.data = func(p []byte) {
-		if n, err := dec.Feed(p); err == nil && dec.Done() {
+		if _, err := dec.Feed(p); err == nil && dec.Done() {
 			status := dec.Response().Status
 			tell(status)
 			if status < 400 {
 				k.close()
 				lp.Timers.Stop(timer)
 			}
-			_ = n
 			dec = http1.NewResponseDecoder(nil)
 		}
 	}
--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -43,7 +43,7 @@
 	fresh     bool    // on a connection of its own
 	piped     bool
 	resent    bool
-	done      func(outcome, float64)
+	done      func(outcome)
 
 	conn    *callConn
 	written bool
@@ -100,7 +100,7 @@
 	}
 	link, err := dial(c.host, k.backend.Addr)
 	if err != nil {
-		k.end(unsent, 0)
+		k.end(unsent)
 		return
 	}
 	conn := &callConn{c: c, link: link, backend: k.backend, dec: http1.NewResponseDecoder(nil)}
@@ -115,7 +115,7 @@
 	if a.conn != nil && !a.conn.link.closed {
 		a.conn.put(b)
 	} else {
-		b.end(unsent, 0)
+		b.end(unsent)
 	}
 }
 
@@ -220,11 +220,11 @@
 		if k != first && k.written {
 			n.c.witness.Left(k.txn, n.c.host.Loop().Now())
 		}
-		k.end(how, 0)
+		k.end(how)
 	}
 }
 
-func (k *call) end(how outcome, after float64) {
+func (k *call) end(how outcome) {
 	if k.over {
 		return
 	}
@@ -233,7 +233,7 @@
 		k.conn.c.host.Loop().Timers.Stop(k.timer)
 	}
 	if k.done != nil {
-		k.done(how, after)
+		k.done(how)
 	}
 }
 
@@ -267,7 +267,7 @@
 	n.calls = n.calls[1:]
 	if !k.written { // turned away before it was written whole: nothing was taken
 		n.link.close()
-		k.end(failed, 0)
+		k.end(failed)
 		return
 	}
 	c.witness.Answered(k.txn, r.Status, r.Body, c.host.Stamp(n.link.fd))
@@ -281,18 +281,18 @@
 			if x.written {
 				c.witness.Left(x.txn, c.host.Loop().Now())
 			}
-			x.end(broken, 0)
+			x.end(broken)
 		}
 	case len(n.calls) == 0:
 		c.idle[n.backend.Name] = append(c.idle[n.backend.Name], n)
 	}
 	switch r.Status {
 	case 200:
-		k.end(served, 0)
+		k.end(served)
 	case 429, 503:
-		k.end(refused, 0)
+		k.end(refused)
 	default:
-		k.end(failed, 0)
+		k.end(failed)
 	}
 }
 
@@ -305,7 +305,7 @@
 	began := n.dec.Begun()
 	for _, k := range calls {
 		if !k.written {
-			k.end(unsent, 0)
+			k.end(unsent)
 			continue
 		}
 		reused := n.used > 1 && !began && !k.piped
@@ -320,7 +320,7 @@
 			c.start(&again)
 			continue
 		}
-		k.end(broken, 0)
+		k.end(broken)
 	}
 }
 
@@ -374,7 +374,7 @@
 	if x.c.classes[class].Effect == balance.Keyed {
 		k.key = x.c.txn()
 	}
-	k.done = func(how outcome, _ float64) {
+	k.done = func(how outcome) {
 		if how != served {
 			delete(x.open, txn)
 			done(false)
--- a/internal/lab/world/faults.go
+++ b/internal/lab/world/faults.go
@@ -237,7 +237,7 @@
 	if s.down {
 		return
 	}
-	id, up, made := s.id, s.up, s.made
+	up, made := s.up, s.made
 	s.list("terminating", 0)
 	up.Drain(1000)
 	t.atEnd(func() {
@@ -245,7 +245,6 @@
 			return
 		}
 		s.list("terminated", 0)
-		_ = id
 		s.die()
 		then()
 	})
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -33,6 +33,7 @@
 	keepAlive  = 15000.0
 	coldEnough = 0.9 // of a cold upstream's capacity is what the settings promise
 	tick       = 5.0
+	keyWindow  = 10000.0 // ms that a group remembers a key
 )
 
 // classes are those of every world, as callers see them, and what they cost as a multiple of the cheapest.
@@ -44,7 +45,7 @@
 }{
 	{standin.Class{Name: "status", Effect: balance.Safe, Deadline: 1000, Share: 0.5}, 400, 1, 1, "", 0},
 	{standin.Class{Name: "porocilo", Effect: balance.Safe, Deadline: 2000, Share: 0.2}, 800, 5, 4, "", 0},
-	{standin.Class{Name: "arhiv", Effect: balance.Keyed, Deadline: 2500, Share: 0.15}, 1000, 3, 3, "zone", 10000},
+	{standin.Class{Name: "arhiv", Effect: balance.Keyed, Deadline: 2500, Share: 0.15}, 1000, 3, 3, "zone", keyWindow},
 	{standin.Class{Name: "oddaja", Effect: balance.Unsafe, Deadline: 3000, Share: 0.15}, 1200, 12, 4, "", 0},
 }
 
@@ -258,7 +259,7 @@
 func (w *World) newTier(n int) *tier {
 	t := &tier{n: n, registry: &standin.Registry{}, memory: map[string]*standin.Memory{}}
 	for _, z := range w.Script.World.Zones {
-		t.memory[z] = standin.NewMemory(10000)
+		t.memory[z] = standin.NewMemory(keyWindow)
 	}
 	return t
 }
