--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -328,3 +329,25 @@
 		t.Errorf("knows %d ids, %d numbers, %d places of one upstream", len(b.ids), len(b.known), len(p))
 	}
 }
+
+// removals notes who is forgotten, in order.
+type removals struct{ ids []balance.UpstreamID }
+
+func (r *removals) Place(balance.UpstreamID, netip.AddrPort, balance.Millis) {}
+func (r *removals) Remove(id balance.UpstreamID)                             { r.ids = append(r.ids, id) }
+
+// Those that a whole list leaves out are forgotten in an order that is the same each time: their connections close in
+// it, and a run on the virtual clock must not depend on the order of a Go map.
+func TestRemovedInOrder(t *testing.T) {
+	b, r := NewBook(nil), &removals{}
+	u := &Update{Complete: true}
+	for i := range 30 {
+		u.Members = append(u.Members, Member{ID: fmt.Sprintf("s-%d", i), addr: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1)),
+			state: balance.Ready})
+	}
+	b.Enter(u, r)
+	b.Enter(&Update{Complete: true}, r)
+	if len(r.ids) != 30 || !slices.IsSorted(r.ids) {
+		t.Errorf("%d forgotten, as %v", len(r.ids), r.ids)
+	}
+}
--- a/internal/lab/oracle/oracle.go
+++ b/internal/lab/oracle/oracle.go
@@ -85,7 +85,6 @@
 	site Site
 
 	requests map[string]*request
-	unasked  []standin.Sent      // attempts of which the caller's side is not known yet
 	made     map[string][]string // bodies by request
 	effects  map[string][]string // where a root or a key ran, if it must run once
 	told     map[[2]string]float64
--- a/internal/lab/standin/callers.go
+++ b/internal/lab/standin/callers.go
@@ -31,7 +31,6 @@
 	Seed    uint64
 	Retries int     // after a refusal, and after a failure of what is safe to repeat
 	Backoff float64 // ms
-	Honour  float64 // share that comes back when it was told to
 	Until   float64 // no new requests from then on
 	Witness Witness
 	Habits  *Habits
--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -69,7 +69,6 @@
 	rng     Stream
 	classes []Class
 	idle    map[string][]*callConn
-	seen    int
 }
 
 // callConn is one connection of a client.
@@ -335,14 +334,6 @@
 	}
 }
 
-// closeIdle closes what is not in use.
-func (c *client) closeIdle(backend string) {
-	for _, n := range c.idle[backend] {
-		n.link.close()
-	}
-	delete(c.idle, backend)
-}
-
 // Chain is what an upstream uses to call the tier behind it, through a balancer of its own.
 type Chain struct {
 	c       *client
--- a/internal/lab/standin/service.go
+++ b/internal/lab/standin/service.go
@@ -1,10 +1,6 @@
 package standin
 
-import (
-	"math"
-
-	"salttrack/internal/lab/stream"
-)
+import "math"
 
 // Cost is what a request of one class costs an upstream.
 type Cost struct {
@@ -32,7 +28,6 @@
 type job struct {
 	cost    float64 // ms of a core at full speed
 	expires float64
-	key     string
 	start   func()
 	done    func()
 	away    func() // it is turned away from the queue
@@ -50,7 +45,6 @@
 // service is a Model at work. It keeps no clock: times are passed in.
 type service struct {
 	m       Model
-	rng     stream.Stream
 	began   float64
 	slow    float64 // by so much longer than usual
 	running int
--- a/internal/lab/standin/upstream.go
+++ b/internal/lab/standin/upstream.go
@@ -90,8 +90,6 @@
 	draining bool
 	down     bool
 	made     int
-
-	Ran, TurnedAway, Served int
 }
 
 // upConn is one connection of a balancer to an upstream.
@@ -111,7 +109,7 @@
 	u := &Upstream{UpstreamOptions: o, rng: stream.New(o.Seed, "upstream/"+o.ID), draws: map[string]*Stream{},
 		links: map[*upConn]struct{}{}}
 	lp := o.Host.Loop()
-	u.svc = service{m: o.Model, rng: u.rng, began: lp.Now(), now: lp.Now, after: func(ms float64, do func()) { lp.After(ms, do) }}
+	u.svc = service{m: o.Model, began: lp.Now(), now: lp.Now, after: func(ms float64, do func()) { lp.After(ms, do) }}
 	if o.Warm {
 		u.svc.began -= o.Model.ColdFor
 	}
@@ -126,9 +124,6 @@
 // CloseListener ends its listening; connections go on.
 func (u *Upstream) CloseListener() { u.l.close() }
 
-// InHand is the number of requests that it serves or that wait.
-func (u *Upstream) InHand() int { return u.svc.inHand() }
-
 func (u *Upstream) accept(k *link) {
 	c := &upConn{u: u, link: k, dec: http1.NewRequestDecoder()}
 	u.links[c] = struct{}{}
@@ -200,7 +195,6 @@
 		return
 	}
 	if u.draining || u.Trouble.Away {
-		u.TurnedAway++
 		c.answer(503, "X-Turned-Away: 1\r\n", nil, false)
 		return
 	}
@@ -221,15 +215,13 @@
 		return
 	}
 	u.svc.slow = u.Trouble.Slow
-	j := &job{cost: cost, expires: now + r.Remaining*1000, key: r.Key}
+	j := &job{cost: cost, expires: now + r.Remaining*1000}
 	j.start = func() { c.ran(r) }
 	j.away = func() {
-		u.TurnedAway++
 		c.finish(func() { c.answer(504, "X-Turned-Away: 1\r\n", nil, false) })
 	}
 	j.done = func() { c.worked(r, j) }
 	if !u.svc.take(j) {
-		u.TurnedAway++
 		c.answer(503, "X-Turned-Away: 1\r\n", nil, false)
 		return
 	}
@@ -243,7 +235,6 @@
 		u.Witness.Repeated(r.Txn, u.ID, r.Key, now)
 		return
 	}
-	u.Ran++
 	u.Witness.Ran(r.Txn, u.ID, u.Zone, r.Key, now)
 }
 
@@ -287,7 +278,6 @@
 		return
 	}
 	u.made++
-	u.Served++
 	size := 20 + u.rng.IntN(400)
 	if u.rng.Chance(0.02) {
 		size = 20000 + u.rng.IntN(40000)
--- a/internal/lab/world/faults.go
+++ b/internal/lab/world/faults.go
@@ -77,6 +77,17 @@
 	t.atEnd(func() { apply(false) })
 }
 
+// agents changes discovery at every balancer, and undoes it at the end.
+func (t *trouble) agents(change func(a *standin.Agent, on bool)) {
+	apply := func(on bool) {
+		for _, b := range t.w.balancers {
+			change(b.agent, on)
+		}
+	}
+	apply(true)
+	t.atEnd(func() { apply(false) })
+}
+
 // habit changes a habit of the callers, and undoes it at the end.
 func (t *trouble) habit(v *float64, usual float64) {
 	*v = t.f.Size
@@ -177,23 +188,13 @@
 			b.agent.Speak()
 		})
 	case "disco_lag":
-		for _, b := range w.balancers {
-			b.agent.Lag = f.Size * t.rng.Between(0.5, 1)
-		}
-		t.atEnd(func() {
-			for _, b := range w.balancers {
-				b.agent.Lag = 20
+		t.agents(func(a *standin.Agent, on bool) {
+			if a.Lag = 20; on {
+				a.Lag = f.Size * t.rng.Between(0.5, 1)
 			}
 		})
 	case "disco_repeat":
-		for _, b := range w.balancers {
-			b.agent.Repeats = true
-		}
-		t.atEnd(func() {
-			for _, b := range w.balancers {
-				b.agent.Repeats = false
-			}
-		})
+		t.agents(func(a *standin.Agent, on bool) { a.Repeats = on })
 	case "disco_reset":
 		t.balancer().agent.Reset()
 	case "surge":
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -63,9 +63,7 @@
 	callers   []*standin.Callers
 	trouble   []*trouble
 	habits    standin.Habits
-	ended     int
 	ending    bool
-	crashed   bool
 }
 
 // tier is one tier of upstreams.
