A door for operators; upstreams taken out as events of the module; an inherited listener

The program exited where its listening socket was held for it (address in use), and no call was answered. Change: internal/control on the loop with descriptors of its own; EventBan and EventUnban, kept apart from the list, an upstream comes back cold; attempts without a connection are given up as not sent; BALANCER_LISTEN_FD.

--- a/balance/api.go
+++ b/balance/api.go
@@ -119,6 +119,8 @@
 	EventListDelta                   // List: the changed entries
 	EventListFull                    // List: all entries; what is missing is gone
 	EventListFailed                  // an ActTrack failed
+	EventBan                         // Upstream: operators take it out, whatever the list says
+	EventUnban                       // Upstream: it may serve again, restarted meanwhile
 )
 
 // Event is something an instance is told.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -66,6 +66,10 @@
 			b.act(Action{Kind: ActTimer, After: b.askDelay * (0.5 + b.rng.Float64()), Cookie: cookieTrack})
 			b.askDelay = min(2*b.askDelay, 16000)
 		}
+	case EventBan:
+		b.onBan(e.Upstream)
+	case EventUnban:
+		b.onUnban(e.Upstream)
 	}
 	b.release()
 }
@@ -603,11 +607,11 @@
 var failsAs = [...]float64{Errored: 1, TimedOut: 1, ConnectFailed: 1, Reset: 0.625}
 
 // possible reports whether anything may be sent to the upstream at all.
-func (u *upstream) possible(b *Balancer) bool { return u.State == Ready }
+func (u *upstream) possible(b *Balancer) bool { return u.State == Ready && !u.banned }
 
 // usable reports whether the upstream is to be used on the ordinary path.
 func (u *upstream) usable(b *Balancer) bool {
-	return u.State == Ready && !u.hung && b.now >= u.ejected && !(u.trial && u.inflight > 0)
+	return u.possible(b) && !u.hung && b.now >= u.ejected && !(u.trial && u.inflight > 0)
 }
 
 // judge takes from an outcome what it says of its upstream, its class and its zone.
@@ -653,7 +657,7 @@
 func (b *Balancer) mayLeaveOut() bool {
 	ready, out := 0, 0
 	for _, u := range b.list {
-		if u.State == Ready {
+		if u.possible(b) {
 			ready++
 			if u.hung || b.now < u.ejected {
 				out++
@@ -695,6 +699,40 @@
 	b.choosePart()
 }
 
+// onBan takes an upstream out at the operators' word: nothing new goes there until theirs to the contrary.
+// What is in flight there goes on.
+func (b *Balancer) onBan(id UpstreamID) {
+	if _, out := b.banned[id]; out {
+		return
+	}
+	b.banned[id] = b.now
+	if u := b.ups[id]; u != nil {
+		u.banned = true
+	}
+	b.weigh()
+	b.choosePart()
+}
+
+// onUnban lets it serve again. It was restarted meanwhile, so it is cold: since the start that the list has told
+// during the ban, or else from now on, whatever older start the list goes on telling.
+func (b *Balancer) onUnban(id UpstreamID) {
+	since, out := b.banned[id]
+	if !out {
+		return
+	}
+	delete(b.banned, id)
+	u := b.ups[id]
+	if u == nil || u.Started <= since {
+		b.startedAfter(id, b.now)
+	}
+	if u != nil {
+		u.banned = false
+		b.renew(u)
+	}
+	b.weigh()
+	b.choosePart()
+}
+
 // Retry.
 
 const (
--- a/balance/state.go
+++ b/balance/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -48,6 +49,10 @@
 	open []*request // in order of arrival, for housekeeping; finished ones are dropped at ticks
 	free []*request
 	ups  map[UpstreamID]*upstream
+
+	banned  map[UpstreamID]Millis // since when operators have taken it out
+	revived map[UpstreamID]Millis // the earliest start that is believed, of those that they let back
+
 	list []*upstream // in order of first mention
 	cand []*upstream // scratch of pick
 
@@ -82,7 +87,8 @@
 // New returns an instance that has just started.
 func New(cfg Config, seed uint64, now Millis) *Balancer {
 	b := &Balancer{cfg: cfg, now: now, rng: rand.New(rand.NewPCG(seed, 0x5a17)),
-		reqs: map[RequestID]*request{}, ups: map[UpstreamID]*upstream{}, sum: make([]count, len(cfg.Classes)),
+		reqs: map[RequestID]*request{}, ups: map[UpstreamID]*upstream{}, banned: map[UpstreamID]Millis{},
+		revived: map[UpstreamID]Millis{}, sum: make([]count, len(cfg.Classes)),
 		usual: make([]mean, len(cfg.Classes)), slotStart: now, slotEnd: now + bucketFor,
 		lastTick: now, lastOK: now, askDelay: 1000}
 	for i := range b.window {
@@ -156,6 +162,7 @@
 	backoff  Millis
 	trial    bool // back from an ejection, not yet proven
 	hung     bool
+	banned   bool // as in Balancer.banned
 	answered Millis
 	held     float64 // requests in hand, as last reported
 	heldAt   Millis  // when that was; long ago if never
@@ -275,14 +282,16 @@
 			}
 			continue
 		case u == nil:
-			u = &upstream{id: e.ID, place: mix(e.ID), heldAt: math.Inf(-1), tokens: b.rng.Float64()}
+			u = &upstream{id: e.ID, place: mix(e.ID)}
 			b.ups[e.ID] = u
 			b.list = append(b.list, u)
+			b.renew(u)
 		case e.Started > u.Started:
-			*u = upstream{id: u.id, place: u.place, heldAt: math.Inf(-1), inflight: u.inflight,
-				tokens: b.rng.Float64()}
+			b.renew(u)
 		}
 		u.Entry, u.zone = e, e.Zone
+		u.Started = max(e.Started, b.revived[e.ID])
+		_, u.banned = b.banned[e.ID]
 	}
 	b.list = slices.DeleteFunc(b.list, func(u *upstream) bool {
 		if u.State != Gone || u.inflight > 0 {
@@ -294,6 +303,21 @@
 	slices.SortFunc(b.list, func(x, y *upstream) int { return cmp.Compare(x.place, y.place) })
 }
 
+// renew forgets what is known of an upstream but for its place in the list and what is in flight there.
+func (b *Balancer) renew(u *upstream) {
+	e := u.Entry
+	e.Started = max(e.Started, b.revived[u.id])
+	*u = upstream{Entry: e, zone: u.zone, id: u.id, place: u.place, inflight: u.inflight, banned: u.banned,
+		heldAt: math.Inf(-1), tokens: b.rng.Float64()}
+}
+
+// startedAfter notes that an upstream has started at a time at the earliest. Older notes are dropped: what began
+// that long ago is warm.
+func (b *Balancer) startedAfter(id UpstreamID, at Millis) {
+	maps.DeleteFunc(b.revived, func(_ UpstreamID, at Millis) bool { return b.now-at >= b.cfg.ColdFor })
+	b.revived[id] = at
+}
+
 // mix spreads ids evenly, so that their order tells nothing.
 func mix(id UpstreamID) uint64 {
 	x := uint64(id) + 0x9e3779b97f4a7c15
--- a/cmd/salttrack/main.go
+++ b/cmd/salttrack/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"os/signal"
 	"runtime"
@@ -42,6 +43,11 @@
 	if err != nil {
 		return err
 	}
+	if c.ListenFD >= 0 {
+		if err := k.Adopt(c.ListenFD); err != nil {
+			return fmt.Errorf("BALANCER_LISTEN_FD: %w", err)
+		}
+	}
 	l, entry := loop.New(k), log.WithField("name", c.Name)
 	b := node.New(c, l, entry)
 	signals(b, l, entry)
--- /dev/null
+++ b/cmd/salttrack/ops_test.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"testing"
+)
+
+// withDoor gives a configuration an operators' door, and returns the change and the door's address.
+func withDoor(t *testing.T) (func(map[string]any), string) {
+	l := listen(t)
+	l.Close()
+	at := l.Addr().String()
+	return func(c map[string]any) { c["admin"] = at }, at
+}
+
+// order makes a call at a door and returns the status of its answer.
+func order(t *testing.T, door, method, path string) int {
+	t.Helper()
+	q, err := http.NewRequest(method, "http://"+door+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		t.Errorf("%s: %v", path, err)
+		return 0
+	}
+	a.Body.Close()
+	return a.StatusCode
+}
+
+// An upstream that is taken out by a call gets nothing until the call back, and serves again after it. The door answers
+// while hundreds of callers hold half a call there and others hold half a request.
+func TestTakenOut(t *testing.T) {
+	w := newWorld(t, echo, echo)
+	change, door := withDoor(t)
+	p := start(t, w.config(func(c map[string]any) {
+		change(c)
+		c["limits"] = map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 160}
+	}))
+	for at, n := range map[string]int{door: 200, p.addr: 40} {
+		for range n {
+			c, err := net.Dial("tcp", at)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			fmt.Fprint(c, "GET /half")
+		}
+	}
+	ask := func(name string) (to int64) {
+		before := w.ups[0].seen.Load()
+		for i := range 20 {
+			if status, _ := p.ask("read", fmt.Sprint(name, i)); status != 200 {
+				t.Errorf("%s: status %d", name, status)
+			}
+		}
+		return w.ups[0].seen.Load() - before
+	}
+	if ask("before") == 0 {
+		t.Error("gets nothing before the ban")
+	}
+	for _, tt := range []struct {
+		path string
+		want int
+	}{{"/control/upstreams/s-9/offline", 404}, {"/control/upstreams/s-0/offline", 200}, {"/control/upstreams/s%2d0/offline", 200}} {
+		if status := order(t, door, "POST", tt.path); status != tt.want {
+			t.Errorf("%s: %d", tt.path, status)
+		}
+	}
+	if n := ask("during"); n != 0 {
+		t.Errorf("%d requests went to an upstream that was taken out", n)
+	}
+	if order(t, door, "POST", "/control/upstreams/s-0/online") != 200 || order(t, door, "GET", "/control/ready") != 200 {
+		t.Error("the call back, or ready, is refused")
+	}
+	p.until("it serves again", func() bool { return ask("after") > 0 })
+	p.end()
+}
+
+// A listening socket that the process was started with is used in place of one of its own, and stays open.
+func TestInheritedListener(t *testing.T) {
+	w := newWorld(t, echo)
+	l := listen(t).(*net.TCPListener)
+	defer l.Close()
+	f, err := l.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	path := w.config(func(c map[string]any) { c["listen"] = l.Addr().String() })
+	run := func() *program {
+		return start(t, path, func(c *exec.Cmd) { c.ExtraFiles = []*os.File{f} }, "BALANCER_LISTEN_FD=3")
+	}
+	for i := range 2 {
+		p := run()
+		if status, _ := p.ask("read", fmt.Sprint(i)); status != 200 {
+			t.Errorf("status %d", status)
+		}
+		p.end()
+	}
+	c, err := net.Dial("tcp", l.Addr().String()) // it waits in the queue for the next process
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "GET /-/ready HTTP/1.1\r\n\r\n")
+	p := run()
+	if a, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+		t.Errorf("a connection that waited got no answer: %v", err)
+	} else {
+		a.Body.Close()
+	}
+	p.end()
+	bad := exec.Command(os.Args[0])
+	bad.Env = append(os.Environ(), asProgram+"=1", "BALANCER_CONFIG="+path, "BALANCER_LISTEN_FD=0")
+	if err := bad.Run(); err == nil {
+		t.Error("starts with descriptor 0 as its listener")
+	}
+}
--- a/internal/discovery/members.go
+++ b/internal/discovery/members.go
@@ -59,25 +59,32 @@
 	return &u, nil
 }
 
-// Book turns what discovery tells into the module's numbers, and knows where each upstream listens. It forgets
-// those that are gone: where upstreams come and go all day, ids without end would else be kept.
+// Book turns what discovery tells into the module's numbers, and knows where each upstream listens. Of those that
+// are gone it keeps the last names alone, since upstreams may come and go all day under ids without end, and those
+// that were pinned.
 type Book struct {
-	zones []string
-	ids   map[string]balance.UpstreamID // of those in the list, by the last news
-	known map[balance.UpstreamID]known
-	at    map[netip.AddrPort]balance.UpstreamID // who listens there
+	zones  []string
+	ids    map[string]balance.UpstreamID // of all names that are remembered
+	names  map[balance.UpstreamID]string // the same the other way
+	known  map[balance.UpstreamID]known  // those in the list, by the last news
+	pinned map[string]bool
+	past   []string                              // names that went, in that order; some have come back since
+	at     map[netip.AddrPort]balance.UpstreamID // who listens there
 }
 
+// pastMost bounds the names of those that are gone.
+const pastMost = 1024
+
 // known is what was last told of an upstream.
 type known struct {
-	name    string
 	addr    netip.AddrPort
 	started float64
 }
 
 // NewBook returns an empty book. Zones are the names of the zones in the order of their numbers.
 func NewBook(zones []string) *Book {
-	return &Book{zones: slices.Clone(zones), ids: map[string]balance.UpstreamID{}, known: map[balance.UpstreamID]known{},
+	return &Book{zones: slices.Clone(zones), ids: map[string]balance.UpstreamID{}, names: map[balance.UpstreamID]string{},
+		known: map[balance.UpstreamID]known{}, pinned: map[string]bool{},
 		at: map[netip.AddrPort]balance.UpstreamID{}}
 }
 
@@ -114,7 +121,7 @@
 		if was := b.known[id].addr; was != m.addr && b.at[was] == id {
 			delete(b.at, was)
 		}
-		listed[id], b.at[m.addr], b.known[id] = true, id, known{m.ID, m.addr, m.Started}
+		listed[id], b.at[m.addr], b.known[id] = true, id, known{m.addr, m.Started}
 		p.Place(id, m.addr, m.Started)
 	}
 	if u.Complete {
@@ -127,15 +134,53 @@
 	return entries
 }
 
-// remove forgets an upstream that is gone. Should its id come back, its number is the same again.
+// remove notes that an upstream is gone. Should its id come back, its number is the same again.
 func (b *Book) remove(id balance.UpstreamID, p Places) {
 	p.Remove(id)
-	k := b.known[id]
-	if b.at[k.addr] == id {
+	if k := b.known[id]; b.at[k.addr] == id {
 		delete(b.at, k.addr)
 	}
-	delete(b.ids, k.name)
 	delete(b.known, id)
+	b.past = append(b.past, b.names[id])
+	b.forget()
+}
+
+// forget drops the names that went first, beyond the bound: not those that have come back or are pinned.
+func (b *Book) forget() {
+	for len(b.past) > pastMost {
+		name := b.past[0]
+		b.past = b.past[1:]
+		id := b.ids[name]
+		if _, listed := b.known[id]; listed || b.pinned[name] || slices.Contains(b.past, name) {
+			continue
+		}
+		delete(b.ids, name)
+		delete(b.names, id)
+	}
+}
+
+// Number returns the number of an upstream that is listed or was not long ago.
+func (b *Book) Number(name string) (balance.UpstreamID, bool) {
+	id, ok := b.ids[name]
+	return id, ok
+}
+
+// Pin numbers an upstream and keeps its number, listed or not, until Unpin.
+func (b *Book) Pin(name string) balance.UpstreamID {
+	b.pinned[name] = true
+	return b.id(name)
+}
+
+// Unpin lets its number be forgotten once it is gone.
+func (b *Book) Unpin(name string) {
+	if !b.pinned[name] {
+		return
+	}
+	delete(b.pinned, name)
+	if _, listed := b.known[b.ids[name]]; !listed {
+		b.past = append(b.past, name)
+		b.forget()
+	}
 }
 
 // id numbers an upstream. The number is made from its name alone, since the module wants copies to order
@@ -147,10 +192,10 @@
 	h := fnv.New32a()
 	h.Write([]byte(name))
 	id := balance.UpstreamID(h.Sum32())
-	for b.known[id].name != "" {
+	for b.names[id] != "" {
 		id++
 	}
-	b.ids[name], b.known[id] = id, known{name: name}
+	b.ids[name], b.names[id] = id, name
 	return id
 }
 
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -100,6 +100,11 @@
 	if err != nil {
 		return err
 	}
+	return s.ListenOn(fd)
+}
+
+// ListenOn begins to take connections from a socket that listens already.
+func (s *Server) ListenOn(fd int) error {
 	if err := s.Loop.Add(fd, loop.In, s); err != nil {
 		s.Loop.Close(fd)
 		return err
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -17,6 +17,9 @@
 	Start(*exchange.Attempt)
 	// Stop gives an attempt up: nothing more is awaited of it, and its connection is closed.
 	Stop(*exchange.Attempt)
+	// Withdraw gives up what waits for a connection to an upstream, as not sent, and the connections that wait for
+	// use.
+	Withdraw(balance.UpstreamID)
 }
 
 // Driver is one instance of the module and what is open at it.
@@ -26,6 +29,7 @@
 	b      *balance.Balancer
 	effect []effect                    // by class
 	ready  map[balance.UpstreamID]bool // as last told
+	banned map[balance.UpstreamID]bool // taken out by operators
 	ups    Upstreams
 	note   func(string) // takes what the module wants logged
 
@@ -68,7 +72,7 @@
 
 // New returns a driver whose instance has just started. Start sets it going.
 func New(o Options) *Driver {
-	d := &Driver{now: o.Now, timers: o.Timers, ups: o.Upstreams, note: o.Note, ready: map[balance.UpstreamID]bool{},
+	d := &Driver{now: o.Now, timers: o.Timers, ups: o.Upstreams, note: o.Note, ready: map[balance.UpstreamID]bool{}, banned: map[balance.UpstreamID]bool{},
 		open: map[balance.RequestID]*exchange.Exchange{}, timeouts: map[*exchange.Attempt]*timer.Timer{}}
 	c := &d.counters
 	c.taken = o.Counters.New("taken")
@@ -166,6 +170,19 @@
 	d.handle(&balance.Event{Kind: kind, List: entries})
 }
 
+// Ban takes an upstream out until Unban, whatever the list says. What waits for a connection there is not sent.
+func (d *Driver) Ban(id balance.UpstreamID) {
+	d.banned[id] = true
+	d.handle(&balance.Event{Kind: balance.EventBan, Upstream: id})
+	d.ups.Withdraw(id)
+}
+
+// Unban lets an upstream serve again.
+func (d *Driver) Unban(id balance.UpstreamID) {
+	delete(d.banned, id)
+	d.handle(&balance.Event{Kind: balance.EventUnban, Upstream: id})
+}
+
 // handle gives an event to the module and carries out its actions. What happens meanwhile waits: the module
 // takes one event after the other, and its actions stand until the next.
 func (d *Driver) handle(e *balance.Event) {
@@ -240,7 +257,7 @@
 	if a.After != 0 {
 		until = min(until, now+max(0, a.After))
 	}
-	invariant.Check(d.ready[a.Upstream], "nothing new goes to an upstream that drains or is gone")
+	invariant.Check(d.ready[a.Upstream] && !d.banned[a.Upstream], "nothing new goes to an upstream that drains, is gone or banned")
 	invariant.Check(!d.effect[x.Class].once || x.NeverRan(), "an unsafe request goes out again only if it never ran")
 	try := x.Begin(a.Upstream, now, until)
 	d.counters.sends.Inc()
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -13,15 +13,16 @@
 
 // rig plays the sockets to a driver, with a clock of its own.
 type rig struct {
-	t       *testing.T
-	d       *Driver
-	at      balance.Millis
-	timers  timer.Heap
-	count   counter.Set
-	out     []*exchange.Attempt
-	stopped []*exchange.Attempt
-	answers map[*exchange.Exchange][]exchange.Answer
-	onStart func(*exchange.Attempt) // in place of leaving it out
+	t         *testing.T
+	d         *Driver
+	at        balance.Millis
+	timers    timer.Heap
+	count     counter.Set
+	out       []*exchange.Attempt
+	stopped   []*exchange.Attempt
+	withdrawn []balance.UpstreamID
+	answers   map[*exchange.Exchange][]exchange.Answer
+	onStart   func(*exchange.Attempt) // in place of leaving it out
 }
 
 func (r *rig) Start(a *exchange.Attempt) {
@@ -33,6 +34,8 @@
 	r.out = append(r.out, a)
 }
 
+func (r *rig) Withdraw(id balance.UpstreamID) { r.withdrawn = append(r.withdrawn, id) }
+
 func (r *rig) Stop(a *exchange.Attempt) {
 	r.stopped = append(r.stopped, a)
 	r.drop(a)
--- a/internal/epoll/kernel.go
+++ b/internal/epoll/kernel.go
@@ -14,6 +14,7 @@
 // Kernel is one epoll descriptor and a clock.
 type Kernel struct {
 	ep, wake int
+	adopted  int // a listener that was not made here, 0 if there is none
 	start    time.Time
 	base     float64
 }
@@ -86,6 +87,33 @@
 	unix.Write(k.wake, one[:]) // a full eventfd wakes the loop as well
 }
 
+// Accept takes one connection. Those of a listener that was made here have its bound on unread bytes already.
+func (k *Kernel) Accept(fd int) (int, error) {
+	c, err := Accept(fd)
+	if err == nil && fd == k.adopted {
+		unix.SetsockoptInt(c, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveMost)
+	}
+	return c, err
+}
+
+// Adopt takes over a listening socket that the process was started with. Others hold it too, so nothing about it is
+// changed but that it does not block: of two that accept, the second would wait.
+func (k *Kernel) Adopt(fd int) error {
+	if on, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || on == 0 {
+		return fmt.Errorf("descriptor %d is not a listening socket (%v)", fd, err)
+	}
+	unix.CloseOnExec(fd)
+	flags, err := unix.FcntlInt(uintptr(fd), unix.F_GETFL, 0)
+	if err == nil && flags&unix.O_NONBLOCK == 0 {
+		err = unix.SetNonblock(fd, true)
+	}
+	if err != nil {
+		return fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	k.adopted = fd
+	return nil
+}
+
 // Release gives the kernel's own descriptors back.
 func (k *Kernel) Release() {
 	unix.Close(k.ep)
@@ -96,7 +124,6 @@
 
 func (k *Kernel) Listen(a netip.AddrPort) (int, error)  { return Listen(a) }
 func (k *Kernel) Connect(a netip.AddrPort) (int, error) { return Connect(a) }
-func (k *Kernel) Accept(fd int) (int, error)            { return Accept(fd) }
 func (k *Kernel) Failed(fd int) error                   { return Failed(fd) }
 func (k *Kernel) Read(fd int, p []byte) (int, error)    { return Read(fd, p) }
 func (k *Kernel) Write(fd int, p []byte) (int, error)   { return Write(fd, p) }
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -24,8 +24,9 @@
 // RequestDecoder decodes the requests of one connection, one after the other.
 type RequestDecoder struct {
 	decoder
-	req  Request
-	conn persistence
+	req    Request
+	conn   persistence
+	opaque bool // paths are taken as they are: nobody else will read them
 }
 
 // NewRequestDecoder returns a decoder ready for its first request.
@@ -36,6 +37,14 @@
 	return d
 }
 
+// NewCallDecoder returns a decoder of calls that are meant for its user alone. Their paths are not checked for being
+// read alike by all: their one reader decodes each segment by itself. Their bodies are dropped.
+func NewCallDecoder() *RequestDecoder {
+	d := NewRequestDecoder()
+	d.opaque, d.sink = true, func([]byte) error { return nil }
+	return d
+}
+
 // Reset makes the decoder ready for the next request.
 func (d *RequestDecoder) Reset() {
 	d.decoder.reset()
@@ -77,7 +86,7 @@
 	if !ascii(target, '!') || bytes.IndexByte(target, '#') >= 0 {
 		return bad("malformed target")
 	}
-	if path, _, _ := bytes.Cut(target, []byte("?")); !plain(path) {
+	if path, _, _ := bytes.Cut(target, []byte("?")); !d.opaque && !plain(path) {
 		return bad("ambiguous path")
 	}
 	var ok bool
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -26,7 +26,9 @@
 	Name      string
 	Listen    netip.AddrPort
 	Discovery netip.AddrPort
-	Seed      uint64 // of its random numbers
+	Admin     netip.AddrPort // the operators' door; not valid: there is none
+	ListenFD  int            // a listening socket to take over in place of listening, -1 for none
+	Seed      uint64         // of its random numbers
 	Limits    Limits
 	Known     *discovery.Update // the list as it last was
 	Settings  settings.Settings
@@ -52,6 +54,7 @@
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
 	Discovery string          `json:"discovery"`
+	Admin     string          `json:"admin"`
 	Seed      string          `json:"seed"`
 	Limits    Limits          `json:"limits"`
 	Known     json.RawMessage `json:"known"`
@@ -60,13 +63,22 @@
 
 // Load reads the configuration that the environment names. What the environment says itself goes first.
 func Load(env func(string) string) (*Config, error) {
-	return read(env, "BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_DISCOVERY")
+	c, err := read(env, "BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_DISCOVERY", "BALANCER_ADMIN")
+	if err != nil {
+		return nil, err
+	}
+	if fd := env("BALANCER_LISTEN_FD"); fd != "" {
+		if c.ListenFD, err = strconv.Atoi(fd); err != nil || c.ListenFD < 3 {
+			return nil, fmt.Errorf("BALANCER_LISTEN_FD %q is not a descriptor from 3 on", fd)
+		}
+	}
+	return c, nil
 }
 
 // Reload reads it again for a program that runs: the file is newer than the environment, so it says where
 // discovery is now.
 func Reload(env func(string) string) (*Config, error) {
-	return read(env, "BALANCER_NAME", "BALANCER_LISTEN")
+	return read(env, "BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_ADMIN")
 }
 
 // read reads the configuration. The named variables go before the file.
@@ -96,7 +108,8 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, err
 	}
-	into := map[string]*string{"BALANCER_NAME": &f.Name, "BALANCER_LISTEN": &f.Listen, "BALANCER_DISCOVERY": &f.Discovery}
+	into := map[string]*string{"BALANCER_NAME": &f.Name, "BALANCER_LISTEN": &f.Listen,
+		"BALANCER_DISCOVERY": &f.Discovery, "BALANCER_ADMIN": &f.Admin}
 	for name, field := range into {
 		if v := over[name]; v != "" {
 			*field = v
@@ -109,6 +122,7 @@
 func (c *Config) restartFor(again *Config) []string {
 	var names []string
 	for name, same := range map[string]bool{"name": c.Name == again.Name, "listen": c.Listen == again.Listen,
+		"admin":  c.Admin == again.Admin,
 		"limits": c.Limits == again.Limits, "settings": reflect.DeepEqual(c.Settings, again.Settings)} {
 		if !same {
 			names = append(names, name)
@@ -119,7 +133,7 @@
 }
 
 func (f *file) check() (*Config, error) {
-	c := &Config{Name: f.Name, Limits: f.Limits}
+	c := &Config{Name: f.Name, Limits: f.Limits, ListenFD: -1}
 	var err error
 	if c.Listen, err = netip.ParseAddrPort(f.Listen); err != nil {
 		return nil, fmt.Errorf("listen %q: %w", f.Listen, err)
@@ -127,6 +141,11 @@
 	if c.Discovery, err = netip.ParseAddrPort(f.Discovery); err != nil {
 		return nil, fmt.Errorf("discovery %q: %w", f.Discovery, err)
 	}
+	if f.Admin != "" {
+		if c.Admin, err = netip.ParseAddrPort(f.Admin); err != nil {
+			return nil, fmt.Errorf("admin %q: %w", f.Admin, err)
+		}
+	}
 	if c.Limits.Sockets < socketsLeast || c.Limits.MemoryMB < memoryLeast || c.Limits.Cores <= 0 {
 		return nil, fmt.Errorf("limits: at least %d sockets, %d MB and some of a core are needed", socketsLeast, memoryLeast)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"salttrack/balance"
+	"salttrack/internal/control"
 	"salttrack/internal/counter"
 	"salttrack/internal/discovery"
 	"salttrack/internal/downstream"
@@ -23,6 +24,7 @@
 	ownSockets   = 20  // the loop's, the listener, discovery, the standard streams, the runtime's
 	spareSockets = 32  // for callers that come when all others are in use
 	readyWithin  = 500 // ms that the start waits for discovery before it serves by the list it knows
+	doorSockets  = 64  // for the operators' calls, but no more than an eighth of all
 	blindMost    = 25  // ms of one wait of the loop: a request may have come so much earlier than it is timed from
 )
 
@@ -39,6 +41,8 @@
 	list    *discovery.Follower
 	driver  *driver.Driver
 	server  *downstream.Server
+	door    *control.Door
+	ending  bool
 	started balance.Millis
 
 	reloads, badReloads *counter.Counter
@@ -49,7 +53,11 @@
 	b := &Balancer{config: c, log: log, loop: l, started: l.Now(), book: discovery.NewBook(c.Settings.ZoneNames)}
 	l.WaitAtMost(blindMost)
 	spare := min(spareSockets, c.Limits.Sockets/16)
-	b.table = loop.NewTable(c.Limits.Sockets - ownSockets - spare)
+	door := 0
+	if c.Admin.IsValid() {
+		door = min(doorSockets, c.Limits.Sockets/8)
+	}
+	b.table = loop.NewTable(c.Limits.Sockets - ownSockets - spare - door)
 	b.list = discovery.NewFollower(discovery.Options{Loop: l, Address: c.Discovery, Revision: c.Known.Revision,
 		Counters: &b.Counters, News: b.news, Note: func(s string) { log.Warn(s) }})
 	// The callers' side comes first in the table: their silent connections are shed before idle ones to upstreams.
@@ -62,6 +70,9 @@
 		Upstreams: b.pool, Counters: &b.Counters, Note: func(s string) { log.Info(s) }})
 	b.pool.Listen(b.driver)
 	b.server.Serve(b.driver)
+	if door > 0 {
+		b.door = control.New(control.Options{Loop: l, Room: door - 1, Counters: &b.Counters, Orders: orders{b}})
+	}
 	b.reloads, b.badReloads = b.Counters.New("reloads"), b.Counters.New("reloads_failed")
 	b.Counters.Reading("connections", func() uint64 { return uint64(b.table.Open()) })
 	b.Counters.Reading("invariants_broken", invariant.Broken)
@@ -83,9 +94,18 @@
 	b.news(b.config.Known)
 	b.driver.Start()
 	b.list.Start()
-	if err := b.server.Listen(b.config.Listen); err != nil {
+	listen := func() error { return b.server.Listen(b.config.Listen) }
+	if b.config.ListenFD >= 0 {
+		listen = func() error { return b.server.ListenOn(b.config.ListenFD) }
+	}
+	if err := listen(); err != nil {
 		return err
 	}
+	if b.door != nil {
+		if err := b.door.Listen(b.config.Admin); err != nil {
+			return err
+		}
+	}
 	b.log.WithFields(logrus.Fields{"listen": b.config.Listen, "tier": b.config.Settings.Stage}).Info("serving")
 	return nil
 }
@@ -93,11 +113,15 @@
 // Drain begins the end: done is called when nothing is owed any more.
 func (b *Balancer) Drain(done func()) {
 	b.log.Info("ending")
+	b.ending = true
 	b.server.Drain(done)
 }
 
 // Close closes what is left: connections to upstreams and the watch of the list.
 func (b *Balancer) Close() {
+	if b.door != nil {
+		b.door.Close()
+	}
 	b.list.Stop()
 	b.pool.Close()
 	b.log.WithField("counters", b.Counters.String()).Info("end")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -198,14 +198,33 @@
 	}
 }
 
+// Withdraw gives up the attempts that wait for their connection to an upstream, which nothing has been sent to for
+// them, and closes the connections that wait for use.
+func (p *Pool) Withdraw(id balance.UpstreamID) {
+	t := p.ups[id]
+	if t == nil {
+		return
+	}
+	p.drop(t)
+	for _, c := range p.busy() {
+		if c.target == t && c.connecting {
+			c.end(balance.Moot)
+		}
+	}
+}
+
+// busy returns the connections that carry an attempt, in an order that is the same each time.
+func (p *Pool) busy() []*conn {
+	return slices.SortedFunc(maps.Values(p.out), func(a, b *conn) int { return a.fd - b.fd })
+}
+
 // Close closes all connections, in an order that is the same each time.
 func (p *Pool) Close() {
 	for p.idle.Len() > 0 {
 		p.count.closed.Inc()
 		p.idle.Front().Value.(*conn).close()
 	}
-	out := slices.SortedFunc(maps.Values(p.out), func(a, b *conn) int { return a.fd - b.fd })
-	for _, c := range out {
+	for _, c := range p.busy() {
 		c.detach()
 		c.close()
 	}
