--- a/cmd/salttrack/ops_test.go
+++ b/cmd/salttrack/ops_test.go
@@ -42,6 +42,7 @@
 	p := start(t, w.config(func(c map[string]any) {
 		change(c)
 		c["limits"] = map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 160}
+		c["settings"].(map[string]any)["invariants"].(map[string]any)["cold_ms"] = 200
 	}))
 	for at, n := range map[string]int{door: 200, p.addr: 40} {
 		for range n {
