Settings are swapped on SIGHUP as one generation; open requests keep theirs

Cause: SIGHUP took up discovery alone, so a class that clients named 1.2 s later got 400; a file with a deadline of -5 was taken and moved discovery. Change: classes are numbered on from the running ones, the module, both sides and the driver get an immutable generation between two turns, requests point to theirs; files are checked whole, and a key that the running one has must be there. An upstream that is let back gets one request at once: cold, it looked fuller than any idle one and got none until warm.

--- a/balance/api.go
+++ b/balance/api.go
@@ -44,9 +44,10 @@
 	Group    Group  // for Keyed
 	Window   Millis // for Keyed: how long repeats are dropped
 	Stream   bool   // the answer is a stream, announced by EventStream
+	Gone     bool   // no new request is of it; its number is kept for those that are open
 }
 
-// Config holds the settings an instance gets at its start.
+// Config holds the settings of an instance. It is not changed after it was handed over.
 type Config struct {
 	Me             int // the number of this instance among its like, from 0
 	Replicas       int // instances like this one, itself included
@@ -119,6 +120,7 @@
 	EventListDelta                   // List: the changed entries
 	EventListFull                    // List: all entries; what is missing is gone
 	EventListFailed                  // an ActTrack failed
+	EventSettings                    // Config: it replaces the settings for what comes from now on
 	EventBan                         // Upstream: operators take it out, whatever the list says
 	EventUnban                       // Upstream: it may serve again, restarted meanwhile
 )
@@ -140,6 +142,7 @@
 	Reported    bool    // the upstream told Held
 	Held        float64 // requests it had in hand of late, from all instances
 	List        []Entry
+	Config      *Config
 }
 
 // ActionKind tells what an Action does.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -66,6 +66,10 @@
 			b.act(Action{Kind: ActTimer, After: b.askDelay * (0.5 + b.rng.Float64()), Cookie: cookieTrack})
 			b.askDelay = min(2*b.askDelay, 16000)
 		}
+	case EventSettings:
+		b.applySettings(e.Config)
+		b.weigh()
+		b.choosePart()
 	case EventBan:
 		b.onBan(e.Upstream)
 	case EventUnban:
@@ -75,7 +79,7 @@
 }
 
 func (b *Balancer) onRequest(e *Event) {
-	if b.reqs[e.Request] != nil || int(e.Class) >= len(b.cfg.Classes) {
+	if b.reqs[e.Request] != nil || int(e.Class) >= len(b.cfg.Classes) || b.cfg.Classes[e.Class].Gone {
 		return
 	}
 	r := b.newRequest(e)
@@ -153,7 +157,7 @@
 	r.done = true
 	b.unhold(r)
 	for i := range r.attempts {
-		if a := &r.attempts[i]; !a.over && b.cfg.CanCancel && !b.cfg.Classes[r.class].Stream {
+		if a := &r.attempts[i]; !a.over && r.cfg.CanCancel && !r.rules().Stream {
 			b.act(Action{Kind: ActCancel, Request: r.id, Attempt: i})
 		}
 	}
@@ -171,7 +175,7 @@
 // giveUp gives the final answer to a request that will not be served: a refusal where trying again is
 // harmless and can still be of use, else a failure.
 func (b *Balancer) giveUp(r *request) {
-	c := &b.cfg.Classes[r.class]
+	c := r.rules()
 	harmless := r.mayRun < 0 || c.Effect == Safe || c.Effect == Keyed && c.Group == GroupAll
 	if harmless && (r.mayRun < 0 || b.now < r.until) {
 		after := 0.0
@@ -265,7 +269,7 @@
 	b.record(r.class, accept)
 	switch e.Outcome {
 	case OK:
-		b.learnLimit(&b.zones[b.group(a.up)], min(1, e.Spent/b.cfg.Classes[r.class].Aim))
+		b.learnLimit(&b.zones[b.group(a.up)], min(1, e.Spent/r.rules().Aim))
 	case TimedOut, Full, Errored:
 		b.learnLimit(&b.zones[b.group(a.up)], 1)
 	}
@@ -274,7 +278,7 @@
 // ease is how far an answer now counts as an accept: late ones count nothing, and those close to late
 // count in part, since the queue they came from makes the next ones late.
 func (b *Balancer) ease(r *request) float64 {
-	aim := b.cfg.Classes[r.class].Aim
+	aim := r.rules().Aim
 	return min(1, max(0, (r.arrived+aim-b.now)/(aim*(1-easyShare))))
 }
 
@@ -368,7 +372,7 @@
 			return
 		}
 	}
-	aim, usual := b.cfg.Classes[r.class].Aim, b.usual[r.class].value
+	aim, usual := r.rules().Aim, b.usual[r.class].value
 	wait := max(0, min(aim*holdShare, (r.expires-b.now)/2, r.until-usual/2-b.now)) // to be served still
 	b.act(Action{Kind: ActTimer, After: wait, Cookie: uint64(r.id)})
 }
@@ -433,8 +437,15 @@
 	}
 }
 
-// pick chooses an upstream for a request, or nil if none may be used.
+// pick chooses an upstream for a request, or nil if none may be used. One that operators have let back is tried at
+// once, by one request: cold, it looks fuller than any other that is idle, and got none until it was warm.
 func (b *Balancer) pick(r *request) *upstream {
+	for _, u := range b.list {
+		if u.back && u.usable(b) && b.mayRepeat(r, u) && b.coldAllows(u) {
+			u.back = false
+			return u
+		}
+	}
 	first := 0
 	if b.rng.Float64() < max(trialShare, b.spill) {
 		first = 1
@@ -728,6 +739,7 @@
 	if u != nil {
 		u.banned = false
 		b.renew(u)
+		u.back, u.tokens = true, 1
 	}
 	b.weigh()
 	b.choosePart()
@@ -758,10 +770,10 @@
 
 // mayRetry reports whether another attempt of a request is allowed and of use.
 func (b *Balancer) mayRetry(r *request, a *attempt) bool {
-	if len(r.attempts) >= min(maxTries, b.cfg.MaxAttempts) || b.retries+1 > retryShare*b.total.requests {
+	if len(r.attempts) >= min(maxTries, r.cfg.MaxAttempts) || b.retries+1 > retryShare*b.total.requests {
 		return false
 	}
-	if r.mayRun >= 0 && b.cfg.Classes[r.class].Effect == Unsafe {
+	if r.mayRun >= 0 && r.rules().Effect == Unsafe {
 		return false
 	}
 	return r.until-b.now > b.usual[r.class].value/2 && r.until-b.now > 2*b.cfg.Tick
@@ -770,7 +782,7 @@
 // mayRepeat reports whether the rule on effects lets the request go to this upstream: a keyed request
 // that may have run goes only to the group that drops its repeats, and while that remembers it.
 func (b *Balancer) mayRepeat(r *request, u *upstream) bool {
-	c := &b.cfg.Classes[r.class]
+	c := r.rules()
 	if r.mayRun < 0 || c.Effect == Safe {
 		return true
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -341,7 +341,7 @@
 		f := settled(t, testConfig(), 8)
 		u := f.b.list[0]
 		for n := 1; n <= tt.want; n++ {
-			r := &request{class: 0, arrived: f.b.now, until: f.b.now + 1000}
+			r := &request{cfg: f.b.cfg, class: 0, arrived: f.b.now, until: f.b.now + 1000}
 			f.b.judge(r, &attempt{up: u, sent: f.b.now}, &Event{Outcome: tt.how, Spent: 50})
 			if got := !u.usable(f.b); got != (n == tt.want) {
 				t.Errorf("outcome %d, %d in a row: left out %v", tt.how, n, got)
@@ -368,7 +368,7 @@
 		b.onList(entries(4), true)
 		b.usual[0].value = tt.usual
 		b.Actions()
-		b.hold(&request{id: 7, until: tt.left, expires: tt.left, mayRun: -1, worth: 1})
+		b.hold(&request{cfg: b.cfg, id: 7, until: tt.left, expires: tt.left, mayRun: -1, worth: 1})
 		for _, a := range b.Actions() {
 			if a.Kind == ActTimer && (a.After < tt.least || a.After > tt.most) {
 				t.Errorf("%s: waits %.0f ms, want %.0f to %.0f", tt.name, a.After, tt.least, tt.most)
@@ -708,7 +708,7 @@
 			const n = 1000
 			got := 0.0
 			for range n {
-				if b.twoChoices(&request{}, 0, (*upstream).usable) == low {
+				if b.twoChoices(&request{cfg: b.cfg}, 0, (*upstream).usable) == low {
 					got++
 				}
 			}
--- a/balance/ban_test.go
+++ b/balance/ban_test.go
@@ -2,6 +2,15 @@
 
 import "testing"
 
+// here gives so many upstreams, from 1 on, all of the own zone.
+func here(n int) []Entry {
+	list := entries(n)
+	for i := range list {
+		list[i].ID, list[i].Zone = UpstreamID(i+1), 0
+	}
+	return list
+}
+
 // sent feeds requests and returns the upstreams that they were sent to, answering each at once.
 func sent(b *Balancer, from Millis, first RequestID, n int) map[UpstreamID]int {
 	to := map[UpstreamID]int{}
@@ -26,8 +35,10 @@
 func TestBan(t *testing.T) {
 	const id = 2
 	at := func(started Millis, n int) []Entry {
-		list := entries(n)
-		list[id-1].Started = started
+		list := here(n)
+		if n >= id {
+			list[id-1].Started = started
+		}
 		return list
 	}
 	for _, tt := range []struct {
@@ -37,13 +48,13 @@
 		after []Entry
 	}{
 		{"the list says nothing", nil, 100000, nil},
-		{"an old start told again", [][]Entry{at(5, 4)}, 100000, at(5, 4)},
-		{"a new process", [][]Entry{at(90000, 4)}, 90000, at(90000, 4)},
-		{"gone and back", [][]Entry{at(5, 1), at(5, 4)}, 100000, at(5, 4)},
-		{"gone, and back only afterwards", [][]Entry{at(5, 1)}, 100000, at(5, 4)},
+		{"an old start told again", [][]Entry{at(5, 3)}, 100000, at(5, 3)},
+		{"a new process", [][]Entry{at(90000, 3)}, 90000, at(90000, 3)},
+		{"gone and back", [][]Entry{at(5, 1), at(5, 3)}, 100000, at(5, 3)},
+		{"gone, and back only afterwards", [][]Entry{at(5, 1)}, 100000, at(5, 3)},
 	} {
 		b := New(testConfig(), 1, 0)
-		b.onList(at(5, 4), true)
+		b.onList(at(5, 3), true)
 		if sent(b, 50000, 1, 100)[id] == 0 {
 			t.Fatal("gets nothing before the ban")
 		}
@@ -76,7 +87,7 @@
 // With every upstream taken out a request is refused at once, and so is one that was held.
 func TestAllBanned(t *testing.T) {
 	b := New(testConfig(), 1, 0)
-	b.onList(entries(2), true)
+	b.onList(here(2), true)
 	b.zones[0].limit, b.zones[0].dither = 0, 1 // no room: requests are held
 	b.Handle(10, &Event{Kind: EventRequest, Request: 1, ExpiresIn: 2000})
 	if len(b.queue) != 1 {
@@ -95,3 +106,58 @@
 		t.Errorf("%d refused, %d held", refused, len(b.queue))
 	}
 }
+
+// A request that is open keeps the class, the effect and the number of attempts that it came under; new ones get the
+// new. What was counted of a dropped class goes, what was learned of upstreams stays.
+func TestSettings(t *testing.T) {
+	cfg := testConfig()
+	b := New(cfg, 1, 0)
+	b.onList(here(4), true)
+	sent(b, 1000, 100, 100)
+	ask := func(id RequestID, class uint8) {
+		b.Handle(4000, &Event{Kind: EventRequest, Request: id, Class: class, ExpiresIn: 2000})
+	}
+	fail := func(id RequestID) (again int) {
+		r := b.reqs[id]
+		if r == nil || len(r.attempts) == 0 {
+			t.Fatalf("request %d is not out", id)
+		}
+		b.Actions()
+		n := len(r.attempts) - 1
+		b.Handle(4100, &Event{Kind: EventOutcome, Request: id, Attempt: n, Upstream: r.attempts[n].up.id, Outcome: Reset, Spent: 10})
+		for _, a := range b.Actions() {
+			if a.Kind == ActSend {
+				again++
+			}
+		}
+		return again
+	}
+	ask(1, 0)
+	ask(2, 1)
+	ask(3, 0)
+	next := cfg
+	next.Classes = append([]Class(nil), cfg.Classes...)
+	next.Classes[0].Effect = Unsafe
+	next.Classes[1].Gone = true
+	next.Classes = append(next.Classes, Class{Aim: 800, Deadline: 2000, Worth: 5, Effect: Safe})
+	usual, lastOK := b.usual[0], b.lastOK
+	b.Handle(4000, &Event{Kind: EventSettings, Config: &next})
+	if b.sum[1] != (count{}) || b.total.requests != b.sum[0].requests || b.sum[0].requests == 0 || b.usual[0] != usual || b.lastOK != lastOK {
+		t.Errorf("counts %v of %v after the class was dropped", b.sum, b.total)
+	}
+	ask(4, 0)
+	ask(5, 5)
+	ask(6, 1)
+	if b.reqs[6] != nil {
+		t.Error("a request of a dropped class is taken")
+	}
+	none := next
+	none.MaxAttempts = 1
+	b.Handle(4050, &Event{Kind: EventSettings, Config: &none})
+	ask(7, 5)
+	for id, want := range map[RequestID]int{1: 1, 2: 0, 4: 0, 5: 1, 7: 0} {
+		if got := fail(id); got != want {
+			t.Errorf("request %d: sent again %d times, want %d", id, got, want)
+		}
+	}
+}
--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -53,7 +53,7 @@
 		t.Errorf("%.2f allocations a request", n)
 	}
 	b.cand = make([]*upstream, 0, 150)
-	b.pick(&request{})
+	b.pick(&request{cfg: b.cfg})
 	if n := len(b.cand[:cap(b.cand)]) - countNil(b.cand[:cap(b.cand)]); n > int(partLeast) {
 		t.Errorf("a pick has looked at %d upstreams of 150", n)
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -13,6 +13,7 @@
 // request is one request this instance has taken, until its last attempt has ended.
 type request struct {
 	id       RequestID
+	cfg      *Config // the settings that it came under, which hold for it to its end
 	class    uint8
 	done     bool // concluded: nothing may go out for it any more
 	held     bool
@@ -40,7 +41,7 @@
 
 // Balancer is one instance.
 type Balancer struct {
-	cfg     Config
+	cfg     *Config
 	now     Millis
 	rng     *rand.Rand
 	actions []Action
@@ -86,7 +87,7 @@
 
 // New returns an instance that has just started.
 func New(cfg Config, seed uint64, now Millis) *Balancer {
-	b := &Balancer{cfg: cfg, now: now, rng: rand.New(rand.NewPCG(seed, 0x5a17)),
+	b := &Balancer{cfg: &cfg, now: now, rng: rand.New(rand.NewPCG(seed, 0x5a17)),
 		reqs: map[RequestID]*request{}, ups: map[UpstreamID]*upstream{}, banned: map[UpstreamID]Millis{},
 		revived: map[UpstreamID]Millis{}, sum: make([]count, len(cfg.Classes)),
 		usual: make([]mean, len(cfg.Classes)), slotStart: now, slotEnd: now + bucketFor,
@@ -163,6 +164,7 @@
 	trial    bool // back from an ejection, not yet proven
 	hung     bool
 	banned   bool // as in Balancer.banned
+	back     bool // let back, and not sent to since
 	answered Millis
 	held     float64 // requests in hand, as last reported
 	heldAt   Millis  // when that was; long ago if never
@@ -191,6 +193,9 @@
 	m.value += (x - m.value) * max(share, 1/m.n)
 }
 
+// rules is what the settings say of the request's class.
+func (r *request) rules() *Class { return &r.cfg.Classes[r.class] }
+
 func (r *request) tried(u *upstream) bool {
 	for i := range r.attempts {
 		if r.attempts[i].up == u {
@@ -209,7 +214,7 @@
 		r = new(request)
 	}
 	c := &b.cfg.Classes[e.Class]
-	*r = request{id: e.Request, class: e.Class, arrived: b.now, expires: b.now + e.ExpiresIn,
+	*r = request{id: e.Request, cfg: b.cfg, class: e.Class, arrived: b.now, expires: b.now + e.ExpiresIn,
 		worth: c.Worth * b.tenantShare(int(e.Tenant)), attempts: r.attempts[:0], mayRun: -1}
 	r.until = b.usefulUntil(r, c)
 	b.reqs[r.id] = r
@@ -307,8 +312,12 @@
 func (b *Balancer) renew(u *upstream) {
 	e := u.Entry
 	e.Started = max(e.Started, b.revived[u.id])
+	_, back := b.revived[u.id]
 	*u = upstream{Entry: e, zone: u.zone, id: u.id, place: u.place, inflight: u.inflight, banned: u.banned,
-		heldAt: math.Inf(-1), tokens: b.rng.Float64()}
+		back: back, heldAt: math.Inf(-1), tokens: b.rng.Float64()}
+	if back {
+		u.tokens = 1
+	}
 }
 
 // startedAfter notes that an upstream has started at a time at the earliest. Older notes are dropped: what began
@@ -318,6 +327,40 @@
 	b.revived[id] = at
 }
 
+// applySettings goes on by other settings. What was counted of a class that is dropped goes, as does what was known
+// under a number that a new class has now; all else that was learned stays.
+func (b *Balancer) applySettings(cfg *Config) {
+	before := b.cfg
+	b.cfg = cfg
+	grow := len(cfg.Classes) - len(b.sum)
+	for range grow {
+		b.sum, b.usual = append(b.sum, count{}), append(b.usual, mean{})
+	}
+	for i := range b.window {
+		b.window[i] = append(b.window[i], make([]count, max(0, grow))...)
+	}
+	for g := range b.zones {
+		b.zones[g].byClass = append(b.zones[g].byClass, make([]int, max(0, grow))...)
+	}
+	for c := range cfg.Classes {
+		if was := c >= len(before.Classes) || before.Classes[c].Gone; was == cfg.Classes[c].Gone {
+			continue // gone before and after, or there before and after
+		}
+		b.total.requests -= b.sum[c].requests
+		b.total.accepts = max(0, b.total.accepts-b.sum[c].accepts)
+		b.sum[c], b.usual[c] = count{}, mean{}
+		for i := range b.window {
+			b.window[i][c] = count{}
+		}
+	}
+	if len(cfg.TenantQuota) != len(b.tenants) {
+		b.tenants = nil
+		for _, q := range cfg.TenantQuota {
+			b.tenants = append(b.tenants, q/float64(max(1, cfg.Replicas)))
+		}
+	}
+}
+
 // mix spreads ids evenly, so that their order tells nothing.
 func mix(id UpstreamID) uint64 {
 	x := uint64(id) + 0x9e3779b97f4a7c15
--- a/cmd/salttrack/main_test.go
+++ b/cmd/salttrack/main_test.go
@@ -388,9 +388,10 @@
 	if status, _ := p.ask("read", "after"); status != 200 || other.ups[0].seen.Load() != 1 {
 		t.Errorf("after the move: %d, %d requests at the upstream listed there", status, other.ups[0].seen.Load())
 	}
-	hangup(strings.Replace(moved, `"max_attempts":6`, `"max_attempts":5`, 1), "reloads", 4)
-	if !strings.Contains(p.log.String(), "at_next_start=settings") {
-		t.Errorf("the log does not say that new settings wait for a start:\n%s", p.log)
+	hangup(strings.Replace(moved, `"replicas_of_me":1`, `"replicas_of_me":2`, 1), "reloads", 4)
+	hangup(strings.Replace(moved, `"me":0`, `"me":1`, 1), "reloads", 5)
+	if strings.Count(p.log.String(), "at_next_start=") != 1 || !strings.Contains(p.log.String(), "at_next_start=settings.me") {
+		t.Errorf("the log does not say that this alone waits for a start:\n%s", p.log)
 	}
 	if n := count("watch_moves"); n != 1 {
 		t.Errorf("%d moves, want 1", n)
--- a/cmd/salttrack/ops_test.go
+++ b/cmd/salttrack/ops_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -124,3 +127,74 @@
 		t.Error("starts with descriptor 0 as its listener")
 	}
 }
+
+// A file that is cut at any byte, or lacks anything that the running one has, changes neither settings nor discovery;
+// a whole one brings its classes, and each fault is told with the key.
+func TestNewSettings(t *testing.T) {
+	w := newWorld(t, echo)
+	path := w.config(nil)
+	p := start(t, path)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reloads := 0
+	reload := func(text []byte, name string) {
+		t.Helper()
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		reloads++
+		p.until("the reload "+name, func() bool {
+			return strings.Count(p.log.String(), "stays as it was")+strings.Count(p.log.String(), "read again") >= reloads
+		})
+	}
+	change := func(do func(c, settings map[string]any)) []byte {
+		var c map[string]any
+		if err := json.Unmarshal(whole, &c); err != nil {
+			t.Fatal(err)
+		}
+		do(c, c["settings"].(map[string]any))
+		text, _ := json.Marshal(c)
+		return text
+	}
+	for n := 0; n < len(whole); n += 7 {
+		reload(whole[:n], fmt.Sprint("cut at ", n))
+	}
+	for name, do := range map[string]func(c, s map[string]any){
+		"settings.limits.max_attempts": func(_, s map[string]any) { s["limits"].(map[string]any)["max_attempts"] = 0 },
+		"limits.keepalive_ms":          func(_, s map[string]any) { delete(s["limits"].(map[string]any), "keepalive_ms") },
+		"classes.0.deadline_ms":        func(_, s map[string]any) { s["classes"].([]any)[0].(map[string]any)["deadline_ms"] = -1 },
+		"classes.1.worth":              func(_, s map[string]any) { delete(s["classes"].([]any)[1].(map[string]any), "worth") },
+		"classes.0.worth":              func(_, s map[string]any) { s["classes"].([]any)[0].(map[string]any)["worth"] = "12" },
+		"discovery":                    func(c, _ map[string]any) { delete(c, "discovery") },
+		"known":                        func(c, _ map[string]any) { delete(c, "known") },
+	} {
+		reload(change(func(c, s map[string]any) { c["discovery"] = "127.0.0.1:1"; do(c, s) }), name)
+		lines := strings.Split(strings.TrimSpace(p.log.String()), "\n")
+		if last := lines[len(lines)-1]; !strings.Contains(last, strings.TrimPrefix(name, "settings.")) {
+			t.Errorf("%s: the log says %s", name, last)
+		}
+	}
+	if strings.Contains(p.log.String(), "read again") {
+		t.Errorf("a broken file was taken; log:\n%s", p.log)
+	}
+	if status, _ := p.ask("read", "before"); status != 200 {
+		t.Errorf("status %d after broken files", status)
+	}
+	reload(change(func(_, s map[string]any) {
+		classes := s["classes"].([]any)
+		fresh := map[string]any{"name": "fresh", "on_time_ms": 2000, "deadline_ms": 5000, "worth": 2, "idempotency": "retryable"}
+		s["classes"] = []any{fresh, classes[0]}
+	}), "with a new class")
+	for class, want := range map[string]int{"fresh": 200, "read": 200, "pay": 400} {
+		if status, _ := p.ask(class, "after-"+class); status != want {
+			t.Errorf("%s: status %d, want %d", class, status, want)
+		}
+	}
+	p.end()
+	if c := p.counters(); c["reloads"] != 1 || c["reloads_failed"] != reloads-1 || c["invariants_broken"] != 0 || c["watch_moves"] != 0 {
+		t.Errorf("counters %v after %d reloads", c, reloads)
+	}
+}
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -216,7 +216,7 @@
 		x := exchange.New(c, &r)
 		x.Class, x.Resent = class, r.Resent
 		x.Deadline = c.came + r.Remaining*1000 // a request's time counts from its last byte, however slowly it came
-		x.Expires = x.Deadline - min(s.Ahead, r.Remaining*1000/10)
+		x.Expires = x.Deadline - min(s.settings.Ahead, r.Remaining*1000/10)
 		c.exchange = x
 		s.open[r.Txn] = struct{}{}
 		s.core.Take(x)
@@ -241,11 +241,12 @@
 		return 0, 405
 	}
 	first, _, _ := strings.Cut(path[1:], "/")
-	class, ok := s.classes[r.Lane]
+	class, ok := s.settings.Classes[r.Lane]
 	if !ok || first != r.Lane || r.Txn == "" || math.IsNaN(r.Remaining) || r.Remaining < 0 || r.Remaining > 3600 {
 		return 0, 400
 	}
-	safe, keyed := s.Effects[class] == balance.Safe, s.Effects[class] == balance.Keyed
+	effect := s.settings.Effects[class]
+	safe, keyed := effect == balance.Safe, effect == balance.Keyed
 	_, open := s.open[r.Txn]
 	switch {
 	case safe != (r.Method == "GET"):
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -44,17 +44,21 @@
 	Table    *loop.Table
 	Spare    int // connections beyond the table, whose callers are only told to go elsewhere
 	Counters *counter.Set
-	Classes  []string // names of the classes in the order of their numbers
-	Effects  []balance.Effect
-	Ahead    balance.Millis // an answer is given so much before the caller gives up
-	Ready    func() bool    // the instance knows its upstreams
+	Ready    func() bool // the instance knows its upstreams
+}
+
+// Settings is what the callers' side has to know of those in force. It is not changed after it was handed over.
+type Settings struct {
+	Classes map[string]uint8 // numbers of the classes that requests may name
+	Effects []balance.Effect // by number
+	Ahead   balance.Millis   // an answer is given so much before the caller gives up
 }
 
 // Server is the callers' side of one balancer.
 type Server struct {
 	Options
 	core     Core
-	classes  map[string]uint8
+	settings *Settings
 	fd       int // -1 once the listener is closed
 	conns    map[*conn]struct{}
 	open     map[string]struct{} // ids of the requests that are owed an answer
@@ -73,11 +77,8 @@
 
 // NewServer returns a server that does not listen yet.
 func NewServer(o Options) *Server {
-	s := &Server{Options: o, classes: map[string]uint8{}, fd: -1, conns: map[*conn]struct{}{},
+	s := &Server{Options: o, fd: -1, conns: map[*conn]struct{}{},
 		open: map[string]struct{}{}, waiting: list.New(), buf: make([]byte, readSize)}
-	for i, name := range o.Classes {
-		s.classes[name] = uint8(i)
-	}
 	n := o.Counters.New
 	s.count = counters{accepted: n("down_accepted"), requests: n("down_requests"), ready: n("ready_asked"),
 		bad: n("bad_requests"), shed: n("down_shed"), overflow: n("down_overflow_refused"),
@@ -94,6 +95,9 @@
 // Serve names who takes the requests.
 func (s *Server) Serve(c Core) { s.core = c }
 
+// Settle says by which settings requests are taken from now on.
+func (s *Server) Settle(to *Settings) { s.settings = to }
+
 // Listen begins to take connections.
 func (s *Server) Listen(addr netip.AddrPort) error {
 	fd, err := s.Loop.Listen(addr)
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -36,9 +36,9 @@
 func newRig(t *testing.T, limit, spare int) *rig {
 	t.Helper()
 	r := &rig{Rig: epolltest.Start(t), taken: make(chan *exchange.Exchange, 1000), gone: make(chan *exchange.Exchange, 1000)}
-	r.s = NewServer(Options{Loop: r.Loop, Table: loop.NewTable(limit), Spare: spare, Counters: &r.Count,
-		Classes: []string{"read", "pay", "keep"}, Effects: []balance.Effect{balance.Safe, balance.Unsafe, balance.Keyed},
-		Ahead: 10, Ready: func() bool { return true }})
+	r.s = NewServer(Options{Loop: r.Loop, Table: loop.NewTable(limit), Spare: spare, Counters: &r.Count, Ready: func() bool { return true }})
+	r.s.Settle(&Settings{Classes: map[string]uint8{"read": 0, "pay": 1, "keep": 2},
+		Effects: []balance.Effect{balance.Safe, balance.Unsafe, balance.Keyed}, Ahead: 10})
 	r.s.Serve(r)
 	r.Do(func() {
 		if err := r.s.Listen(netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -24,14 +24,14 @@
 
 // Driver is one instance of the module and what is open at it.
 type Driver struct {
-	now    func() balance.Millis
-	timers *timer.Heap
-	b      *balance.Balancer
-	effect []effect                    // by class
-	ready  map[balance.UpstreamID]bool // as last told
-	banned map[balance.UpstreamID]bool // taken out by operators
-	ups    Upstreams
-	note   func(string) // takes what the module wants logged
+	now     func() balance.Millis
+	timers  *timer.Heap
+	b       *balance.Balancer
+	classes []balance.Class             // of the settings in force
+	ready   map[balance.UpstreamID]bool // as last told
+	banned  map[balance.UpstreamID]bool // taken out by operators
+	ups     Upstreams
+	note    func(string) // takes what the module wants logged
 
 	open     map[balance.RequestID]*exchange.Exchange
 	timeouts map[*exchange.Attempt]*timer.Timer
@@ -53,10 +53,9 @@
 	balance.TimedOut: "timed_out", balance.ConnectFailed: "connect_failed", balance.Reset: "reset",
 	balance.Cancelled: "cancelled", balance.Moot: "moot", balance.Faulty: "faulty"}
 
-// effect is what the rules say of a class.
-type effect struct {
-	once  bool // it must never run twice
-	tells bool // it may have run, and a refusal still tells the truth: trying again is harmless
+// tells reports whether a refusal of a request that may have run still tells the truth: trying again is harmless.
+func tells(c *balance.Class) bool {
+	return c.Effect == balance.Safe || c.Effect == balance.Keyed && c.Group == balance.GroupAll
 }
 
 // Options is what a driver works with.
@@ -85,10 +84,7 @@
 		c.ends[i] = o.Counters.New("ended_" + name)
 	}
 	c.cancels, c.lists = o.Counters.New("cancels"), o.Counters.New("lists")
-	for _, class := range o.Config.Classes {
-		d.effect = append(d.effect, effect{once: class.Effect == balance.Unsafe,
-			tells: class.Effect == balance.Safe || class.Effect == balance.Keyed && class.Group == balance.GroupAll})
-	}
+	d.classes = o.Config.Classes
 	d.b = balance.New(o.Config, o.Seed, o.Now())
 	return d
 }
@@ -119,6 +115,7 @@
 	}
 	x.ID = d.next
 	d.open[x.ID] = x
+	x.Rules = &d.classes[x.Class]
 	d.counters.taken.Inc()
 	d.handle(&balance.Event{Kind: balance.EventRequest, Request: x.ID, Class: x.Class, Tenant: x.Tenant,
 		ClientRetry: x.Resent, ExpiresIn: max(0, x.Expires-d.now())})
@@ -170,6 +167,22 @@
 	d.handle(&balance.Event{Kind: kind, List: entries})
 }
 
+// Settle replaces the settings for what comes from now on. Exchanges that are known keep theirs.
+func (d *Driver) Settle(cfg *balance.Config) {
+	d.classes = cfg.Classes
+	d.handle(&balance.Event{Kind: balance.EventSettings, Config: cfg})
+}
+
+// Knows reports whether an exchange of a class is known, owed an answer or not.
+func (d *Driver) Knows(class uint8) bool {
+	for _, x := range d.open {
+		if x.Class == class {
+			return true
+		}
+	}
+	return false
+}
+
 // Ban takes an upstream out until Unban, whatever the list says. What waits for a connection there is not sent.
 func (d *Driver) Ban(id balance.UpstreamID) {
 	d.banned[id] = true
@@ -231,7 +244,7 @@
 	case balance.ActSend:
 		d.send(x, a)
 	case balance.ActRefuse:
-		invariant.Check(x.Verdict() != exchange.Open || d.effect[x.Class].tells || x.NeverRan(),
+		invariant.Check(x.Verdict() != exchange.Open || tells(x.Rules) || x.NeverRan(),
 			"a refused request is harmless to try again")
 		d.finish(x, exchange.Answer{Verdict: exchange.Refused, RetryAfter: a.After})
 	case balance.ActFail:
@@ -258,7 +271,7 @@
 		until = min(until, now+max(0, a.After))
 	}
 	invariant.Check(d.ready[a.Upstream] && !d.banned[a.Upstream], "nothing new goes to an upstream that drains, is gone or banned")
-	invariant.Check(!d.effect[x.Class].once || x.NeverRan(), "an unsafe request goes out again only if it never ran")
+	invariant.Check(x.Rules.Effect != balance.Unsafe || x.NeverRan(), "an unsafe request goes out again only if it never ran")
 	try := x.Begin(a.Upstream, now, until)
 	d.counters.sends.Inc()
 	if try.Number > 0 {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -36,6 +36,7 @@
 type Exchange struct {
 	ID       balance.RequestID
 	Class    uint8
+	Rules    *balance.Class // of the settings that it came under
 	Tenant   uint16
 	Resent   bool           // the caller marked it as a repeat
 	Expires  balance.Millis // when the answer is wanted at the latest, by the loop's clock
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -7,11 +7,9 @@
 	"hash/fnv"
 	"net/netip"
 	"os"
-	"reflect"
 	"slices"
 	"strconv"
 
-	"salttrack/balance"
 	"salttrack/internal/discovery"
 	"salttrack/internal/settings"
 )
@@ -32,7 +30,9 @@
 	Limits    Limits
 	Known     *discovery.Update // the list as it last was
 	Settings  settings.Settings
-	Effects   []balance.Effect // by class
+
+	values *settings.Values           // as the file has them
+	fields map[string]json.RawMessage // the same, of the whole file
 }
 
 // Limits is what a balancer may use.
@@ -115,7 +115,34 @@
 			*field = v
 		}
 	}
-	return f.check()
+	c, err := f.check()
+	if err != nil {
+		return nil, err
+	}
+	return c, json.Unmarshal(text, &c.fields)
+}
+
+// lacks names something that the file of another configuration has and this one's does not, "" if there is nothing:
+// a default must not stand in for what has been lost from a file.
+func (c *Config) lacks(than *Config) string {
+	for _, name := range [...]string{"name", "listen", "discovery", "admin", "seed", "limits", "known"} {
+		if _, had := than.fields[name]; had && c.fields[name] == nil {
+			return name
+		}
+	}
+	if path := c.values.Lacks(than.values); path != "" {
+		return "settings." + path
+	}
+	return ""
+}
+
+// followed returns the settings that go on from those that run by a configuration that was read again. What an
+// instance is stays: its number and tier, its zone and the zones' names, and how it hears of upstreams.
+func (c *Config) followed(running settings.Settings, open func(uint8) bool) (settings.Settings, error) {
+	next, err := c.Settings.After(running, open)
+	next.Me, next.Stage, next.Tiers, next.Ask = running.Me, running.Stage, running.Tiers, running.Ask
+	next.Zone, next.ZoneNames = running.Zone, running.ZoneNames
+	return next, err
 }
 
 // restartFor names what differs in a configuration read again and is only taken up at the next start.
@@ -123,7 +150,10 @@
 	var names []string
 	for name, same := range map[string]bool{"name": c.Name == again.Name, "listen": c.Listen == again.Listen,
 		"admin":  c.Admin == again.Admin,
-		"limits": c.Limits == again.Limits, "settings": reflect.DeepEqual(c.Settings, again.Settings)} {
+		"limits": c.Limits == again.Limits, "settings.me": c.Settings.Me == again.Settings.Me,
+		"settings.stage": c.Settings.Stage == again.Settings.Stage, "settings.tiers": c.Settings.Tiers == again.Settings.Tiers,
+		"settings.discovery": c.Settings.Ask == again.Settings.Ask, "settings.zone": c.Settings.Zone == again.Settings.Zone,
+		"settings.dcs": slices.Equal(c.Settings.ZoneNames, again.Settings.ZoneNames)} {
 		if !same {
 			names = append(names, name)
 		}
@@ -163,18 +193,16 @@
 	if len(f.Settings) == 0 {
 		return nil, errors.New("settings are missing")
 	}
-	values, err := settings.ParseJSON(f.Settings)
-	if err != nil {
+	if c.values, err = settings.ParseJSON(f.Settings); err != nil {
 		return nil, err
 	}
-	if c.Settings, err = settings.Build(values); err != nil {
+	if c.Settings, err = settings.Build(c.values); err != nil {
 		return nil, err
 	}
 	for i, name := range c.Settings.ClassNames {
 		if name == "" {
 			return nil, fmt.Errorf("setting classes.%d.name is missing", i)
 		}
-		c.Effects = append(c.Effects, c.Settings.Classes[i].Effect)
 	}
 	return c, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"salttrack/internal/driver"
 	"salttrack/internal/invariant"
 	"salttrack/internal/loop"
+	"salttrack/internal/settings"
 	"salttrack/internal/upstream"
 )
 
@@ -32,25 +33,26 @@
 type Balancer struct {
 	Counters counter.Set
 
-	config  *Config
-	log     *logrus.Entry
-	loop    *loop.Loop
-	table   *loop.Table
-	pool    *upstream.Pool
-	book    *discovery.Book
-	list    *discovery.Follower
-	driver  *driver.Driver
-	server  *downstream.Server
-	door    *control.Door
-	ending  bool
-	started balance.Millis
+	config   *Config           // as it was read last
+	settings settings.Settings // the generation in force
+	log      *logrus.Entry
+	loop     *loop.Loop
+	table    *loop.Table
+	pool     *upstream.Pool
+	book     *discovery.Book
+	list     *discovery.Follower
+	driver   *driver.Driver
+	server   *downstream.Server
+	door     *control.Door
+	ending   bool
+	started  balance.Millis
 
 	reloads, badReloads *counter.Counter
 }
 
 // New returns a balancer that does nothing yet.
 func New(c *Config, l *loop.Loop, log *logrus.Entry) *Balancer {
-	b := &Balancer{config: c, log: log, loop: l, started: l.Now(), book: discovery.NewBook(c.Settings.ZoneNames)}
+	b := &Balancer{config: c, settings: c.Settings, log: log, loop: l, started: l.Now(), book: discovery.NewBook(c.Settings.ZoneNames)}
 	l.WaitAtMost(blindMost)
 	spare := min(spareSockets, c.Limits.Sockets/16)
 	door := 0
@@ -62,8 +64,8 @@
 		Counters: &b.Counters, News: b.news, Note: func(s string) { log.Warn(s) }})
 	// The callers' side comes first in the table: their silent connections are shed before idle ones to upstreams.
 	b.server = downstream.NewServer(downstream.Options{Loop: l, Table: b.table, Spare: spare,
-		Counters: &b.Counters, Classes: c.Settings.ClassNames, Effects: c.Effects,
-		Ahead: 2 * c.Settings.Tick, Ready: b.ready})
+		Counters: &b.Counters, Ready: b.ready})
+	b.server.Settle(accepts(&b.settings))
 	b.pool = upstream.New(upstream.Options{Loop: l, Table: b.table, Counters: &b.Counters,
 		ConnectTimeout: c.Settings.ConnectTimeout, KeepAlive: c.Settings.KeepAlive, Reports: c.Settings.Inflight >= 0})
 	b.driver = driver.New(driver.Options{Config: c.Settings.Config, Seed: c.Seed, Now: l.Now, Timers: &l.Timers,
@@ -150,9 +152,31 @@
 	return strings.Join(left, ", ")
 }
 
-// Reconfigure takes up a configuration that was read again: discovery may be elsewhere now. One that can't be
-// used leaves all as it is. A second order, one with an unchanged file and one during the end are harmless.
+// accepts is what the callers' side has to know of settings.
+func accepts(s *settings.Settings) *downstream.Settings {
+	out := &downstream.Settings{Classes: map[string]uint8{}, Ahead: 2 * s.Tick}
+	for i, name := range s.ClassNames {
+		if !s.Classes[i].Gone {
+			out.Classes[name] = uint8(i)
+		}
+		out.Effects = append(out.Effects, s.Classes[i].Effect)
+	}
+	return out
+}
+
+// Reconfigure takes up a configuration that was read again: new settings hold for what comes from now on, and
+// discovery may be elsewhere. One that can't be used leaves all as it is. A second order, one with an unchanged file
+// and one during the end are harmless.
 func (b *Balancer) Reconfigure(again *Config, err error) {
+	var next settings.Settings
+	if err == nil {
+		if path := again.lacks(b.config); path != "" {
+			err = fmt.Errorf("configuration: %s is missing, which the running one has", path)
+		}
+	}
+	if err == nil {
+		next, err = again.followed(b.settings, b.driver.Knows)
+	}
 	if err != nil {
 		b.badReloads.Inc()
 		b.log.WithError(err).Warn("the configuration stays as it was")
@@ -163,6 +187,11 @@
 	if names := b.config.restartFor(again); len(names) > 0 {
 		log = log.WithField("at_next_start", strings.Join(names, " "))
 	}
-	log.Info("configuration read again")
+	log.WithField("classes", strings.Join(again.Settings.ClassNames, " ")).Info("configuration read again")
+	again.ListenFD = b.config.ListenFD
+	b.config, b.settings = again, next
+	b.driver.Settle(&next.Config)
+	b.server.Settle(accepts(&next))
+	b.pool.Settle(next.ConnectTimeout, next.KeepAlive, next.Inflight >= 0)
 	b.list.Move(again.Discovery)
 }
--- a/internal/settings/json.go
+++ b/internal/settings/json.go
@@ -18,7 +18,7 @@
 	if err := d.Decode(&tree); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	c := &Values{values: map[string]string{}}
+	c := &Values{values: map[string]string{}, quoted: map[string]bool{}}
 	c.flatten("", tree)
 	return c, nil
 }
@@ -48,6 +48,7 @@
 	case nil: // the same as absent
 	default:
 		c.values[path] = plain(v)
+		_, c.quoted[path] = v.(string)
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,7 +63,10 @@
 			out.TenantQuota = append(out.TenantQuota, c.NumOr(fmt.Sprintf("tenants.%d.quota_per_s", i), 0))
 		}
 	}
-	return out, c.Err()
+	if c.Err() != nil {
+		return out, c.Err()
+	}
+	return out, out.check()
 }
 
 func class(c *Values, at string) balance.Class {
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -11,6 +11,7 @@
 // Values holds an instance's settings by path. Reading through it collects what is missing or malformed.
 type Values struct {
 	values map[string]string
+	quoted map[string]bool // where the source tells texts from numbers: the texts
 	err    error
 }
 
@@ -56,7 +57,7 @@
 func (c *Values) Num(path string) float64 {
 	v := c.Str(path)
 	x, err := strconv.ParseFloat(v, 64)
-	if err != nil || x != x {
+	if err != nil || x != x || c.quoted[path] {
 		c.fail(fmt.Errorf("setting %s=%q is not a number", path, v))
 		return 0
 	}
@@ -84,7 +85,7 @@
 // Bool returns a needed truth value.
 func (c *Values) Bool(path string) bool {
 	v := c.Str(path)
-	if v != "true" && v != "false" {
+	if v != "true" && v != "false" || c.quoted[path] {
 		c.fail(fmt.Errorf("setting %s=%q is neither true nor false", path, v))
 	}
 	return v == "true"
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -77,9 +77,9 @@
 
 // New returns a pool without upstreams.
 func New(o Options) *Pool {
-	p := &Pool{loop: o.Loop, connect: o.ConnectTimeout, keep: o.KeepAlive * idleShare,
-		reports: o.Reports, ups: map[balance.UpstreamID]*target{}, out: map[*exchange.Attempt]*conn{},
+	p := &Pool{loop: o.Loop, ups: map[balance.UpstreamID]*target{}, out: map[*exchange.Attempt]*conn{},
 		idle: list.New(), buf: make([]byte, 64<<10)}
+	p.Settle(o.ConnectTimeout, o.KeepAlive, o.Reports)
 	n := o.Counters.New
 	p.count = counters{opened: n("up_connections"), reused: n("up_reused"), refused: n("up_connect_failed"),
 		late: n("up_connect_timed_out"), shed: n("up_shed"), closed: n("up_closed_idle"), stale: n("up_closed_by_peer"),
@@ -89,6 +89,11 @@
 	return p
 }
 
+// Settle says by which times connections are made and kept from now on.
+func (p *Pool) Settle(connect, keepAlive balance.Millis, reports bool) {
+	p.connect, p.keep, p.reports = connect, keepAlive*idleShare, reports
+}
+
 // Listen names who is told how attempts ended.
 func (p *Pool) Listen(l Listener) { p.listener = l }
 
