An upgrade shares the listener, hands orders over and divides what there is

Change: internal/handover (records in $TMPDIR, locks tell who lives), the new process accepts once ready, the old one told to end gives up its listener at once if it is followed; each has half of descriptors and memory meanwhile. Found by the test: a starter of processes set the shared socket to blocking and a balancer stood still in accept for good; it is set back before each accept, and an accept waits a millisecond at most.

--- a/cmd/salttrack/main.go
+++ b/cmd/salttrack/main.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"salttrack/internal/epoll"
+	"salttrack/internal/handover"
 	"salttrack/internal/loop"
 	"salttrack/internal/node"
 )
@@ -34,7 +35,10 @@
 		return err
 	}
 	runtime.GOMAXPROCS(max(1, int(c.Limits.Cores)))
-	debug.SetMemoryLimit(int64(c.Limits.MemoryMB * memoryShare * (1 << 20)))
+	memory := func(share float64) {
+		debug.SetMemoryLimit(int64(share * c.Limits.MemoryMB * memoryShare * (1 << 20)))
+	}
+	memory(1)
 	var kernel unix.Rlimit
 	if unix.Getrlimit(unix.RLIMIT_NOFILE, &kernel) == nil {
 		c.Limits.AtMost(kernel.Cur)
@@ -50,6 +54,14 @@
 	}
 	l, entry := loop.New(k), log.WithField("name", c.Name)
 	b := node.New(c, l, entry)
+	if folder := os.Getenv("TMPDIR"); c.ListenFD >= 0 && folder != "" {
+		store, err := handover.Open(folder, c.Name)
+		if err != nil {
+			entry.WithError(err).Warn("no other process can take over")
+		} else {
+			b.Share(store, memory)
+		}
+	}
 	signals(b, l, entry)
 	if err := b.Start(); err != nil {
 		return err
--- a/cmd/salttrack/ops_test.go
+++ b/cmd/salttrack/ops_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -11,6 +12,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // withDoor gives a configuration an operators' door, and returns the change and the door's address.
@@ -198,3 +200,132 @@
 		t.Errorf("counters %v after %d reloads", c, reloads)
 	}
 }
+
+// keptCaller sends requests one after the other on a connection that it keeps, on a new one where the balancer has ended
+// that between two, and counts what gets no answer.
+func keptCaller(at, name string, stop chan struct{}) (asked, lost int) {
+	var c net.Conn
+	var r *bufio.Reader
+	defer func() {
+		if c != nil {
+			c.Close()
+		}
+	}()
+	try := func(txn string) (ok, unread bool) {
+		fresh := c == nil
+		if fresh {
+			var err error
+			if c, err = net.Dial("tcp", at); err != nil {
+				return false, false
+			}
+			r = bufio.NewReader(c)
+		}
+		c.SetDeadline(time.Now().Add(patience))
+		fmt.Fprintf(c, "GET /read/x HTTP/1.1\r\nX-Txn: %s\r\nX-Lane: read\r\nX-Remaining: 4.0\r\n\r\n", txn)
+		a, err := http.ReadResponse(r, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, a.Body)
+		}
+		if err != nil || a.Close {
+			c.Close()
+			c = nil
+		}
+		return err == nil && (a.StatusCode == 200 || a.StatusCode == 503), err != nil && !fresh
+	}
+	for {
+		select {
+		case <-stop:
+			return asked, lost
+		default:
+		}
+		asked++
+		txn := fmt.Sprint(name, "-", asked)
+		ok, unread := try(txn)
+		if !ok && unread { // the close may have crossed the request: callers repeat it once
+			ok, _ = try(txn + "r")
+		}
+		if !ok {
+			lost++
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Several new versions in a row take over under load: no request is lost, the listening socket stays, what was taken out
+// stays out, and a call at either process binds both.
+func TestUpgrades(t *testing.T) {
+	w := newWorld(t, echo, echo, echo)
+	l := listen(t).(*net.TCPListener)
+	defer l.Close()
+	f, err := l.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	folder := t.TempDir()
+	run := func() (*program, string) {
+		change, door := withDoor(t)
+		path := w.config(func(c map[string]any) { change(c); c["listen"] = l.Addr().String() })
+		p := start(t, path, func(c *exec.Cmd) { c.ExtraFiles = []*os.File{f} }, "BALANCER_LISTEN_FD=3", "TMPDIR="+folder)
+		p.until("yes at the door", func() bool {
+			a, err := http.Get("http://" + door + "/control/ready")
+			if err != nil {
+				return false
+			}
+			a.Body.Close()
+			return a.StatusCode == 200
+		})
+		return p, door
+	}
+	old, oldDoor := run()
+	if order(t, oldDoor, "POST", "/control/upstreams/s-0/offline") != 200 {
+		t.Fatal("offline is refused")
+	}
+	before := w.ups[0].seen.Load()
+	stop, done := make(chan struct{}), make(chan [2]int)
+	for i := range 8 {
+		go func() {
+			asked, lost := keptCaller(l.Addr().String(), fmt.Sprint("kept", i), stop)
+			done <- [2]int{asked, lost}
+		}()
+	}
+	for i := range 3 {
+		next, nextDoor := run()
+		// Orders at either bind both, and the old process goes on answering.
+		if order(t, oldDoor, "POST", "/control/upstreams/s-1/offline") != 200 {
+			t.Error("the old process refuses an order")
+		}
+		next.until("the order at the old process", func() bool { return strings.Contains(next.log.String(), "upstream=s-1") })
+		if order(t, nextDoor, "POST", "/control/upstreams/s-1/online") != 200 {
+			t.Error("the new process refuses an order")
+		}
+		old.until("the order at the new process", func() bool {
+			return strings.Count(old.log.String(), `"let back by an operator" name=n1 upstream=s-1`) >= 1
+		})
+		old.end()
+		if !strings.Contains(old.log.String(), "followed=true") {
+			t.Errorf("upgrade %d: the old process did not know of the new; log:\n%s", i, old.log)
+		}
+		old, oldDoor = next, nextDoor
+	}
+	close(stop)
+	asked, lost := 0, 0
+	for range 8 {
+		n := <-done
+		asked, lost = asked+n[0], lost+n[1]
+	}
+	if lost != 0 || asked < 100 {
+		t.Errorf("%d of %d requests got no answer", lost, asked)
+	}
+	if n := w.ups[0].seen.Load() - before; n != 0 {
+		t.Errorf("%d requests went to an upstream that was taken out", n)
+	}
+	if order(t, oldDoor, "POST", "/control/upstreams/s-0/online") != 200 {
+		t.Error("the call back is refused")
+	}
+	old.until("it serves again", func() bool { old.ask("read", fmt.Sprint(time.Now().UnixNano())); return w.ups[0].seen.Load() > before })
+	old.end()
+	if old.counters()["invariants_broken"] != 0 {
+		t.Error("an invariant is broken")
+	}
+}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -124,6 +124,9 @@
 // are taken even when the table is full: on spare descriptors, and their request is refused at once.
 func (s *Server) accept(most int) {
 	for range most {
+		if s.fd < 0 {
+			return
+		}
 		if s.over >= s.Spare && !s.shedSilent(silentShort) {
 			s.pause()
 			return
@@ -188,17 +191,20 @@
 }
 
 // Drain prepares the end: answers announce it, connections that go on coming for a moment are served, and
-// done is called when nothing is owed any more.
-func (s *Server) Drain(done func()) {
+// done is called when nothing is owed any more. If another process follows, on the same listening socket, new
+// connections are its own from now on.
+func (s *Server) Drain(done func(), followed bool) {
 	if s.draining {
 		return
 	}
 	s.draining = true
+	if followed {
+		s.unlisten()
+	}
 	s.Loop.After(comeFor, func() { s.closeWaiting(false) })
 	s.Loop.After(comeFor+lastAccept, func() {
 		s.accept(1 << 20) // the kernel has accepted what waits there: it counts as taken
-		s.Loop.Close(s.fd)
-		s.fd = -1
+		s.unlisten()
 		s.closeWaiting(false)
 		half := s.Loop.After(halfMost, func() { s.closeWaiting(true) })
 		s.finish(func() {
@@ -208,6 +214,14 @@
 	})
 }
 
+// unlisten gives the listening socket up.
+func (s *Server) unlisten() {
+	if s.fd >= 0 {
+		s.Loop.Close(s.fd)
+		s.fd = -1
+	}
+}
+
 // finish waits until the last connection is closed.
 func (s *Server) finish(done func()) {
 	if len(s.conns) == 0 {
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -403,7 +403,7 @@
 	busy.send(get("1"))
 	x := r.next()
 	done := make(chan struct{})
-	r.Do(func() { r.s.Drain(func() { close(done) }) })
+	r.Do(func() { r.s.Drain(func() { close(done) }, false) })
 	late := r.dial() // still comes, as through a front that has not noticed
 	late.send("GET /-/ready HTTP/1.1\r\n\r\n")
 	if a, _ := late.answer(); a.StatusCode != 503 || !a.Close {
@@ -444,7 +444,7 @@
 	r := newRig(t, 64, 4)
 	release := make(chan struct{})
 	blocked := make(chan struct{})
-	r.Do(func() { r.s.Drain(func() {}) })
+	r.Do(func() { r.s.Drain(func() {}, false) })
 	r.Loop.Post(func() { close(blocked); <-release })
 	<-blocked
 	c := r.dial()
@@ -461,7 +461,7 @@
 // as silent would lose it (saltlab seed 971).
 func TestDrainWaitsForFirstRequests(t *testing.T) {
 	r := newRig(t, 64, 4)
-	r.Do(func() { r.s.Drain(func() {}) })
+	r.Do(func() { r.s.Drain(func() {}, false) })
 	c := r.dial()
 	r.WaitFor("down_accepted", 1)
 	for closed := false; !closed; time.Sleep(time.Millisecond) {
--- a/internal/epoll/epoll_test.go
+++ b/internal/epoll/epoll_test.go
@@ -53,3 +53,32 @@
 		t.Error("listens on an address that is not this machine's")
 	}
 }
+
+// A listener that was adopted never holds the loop up, though another holder makes it block. (A balancer stood still
+// for good in an accept, since the starter of its successor had set the shared socket to blocking.)
+func TestAdoptedListenerDoesNotBlock(t *testing.T) {
+	fd, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close(fd)
+	k, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer k.Release()
+	if err := k.Adopt(fd); err != nil {
+		t.Fatal(err)
+	}
+	unix.SetNonblock(fd, false)
+	if _, err := k.Accept(fd); err != unix.EAGAIN {
+		t.Errorf("accept with nobody there: %v", err)
+	}
+	unix.SetNonblock(fd, false) // right after the look
+	if _, err := Accept(fd); err != unix.EAGAIN {
+		t.Errorf("a blocking accept with nobody there: %v", err)
+	}
+	if err := k.Adopt(k.ep); err == nil {
+		t.Error("something else than a listener is adopted")
+	}
+}
--- a/internal/epoll/kernel.go
+++ b/internal/epoll/kernel.go
@@ -89,31 +89,55 @@
 
 // Accept takes one connection. Those of a listener that was made here have its bound on unread bytes already.
 func (k *Kernel) Accept(fd int) (int, error) {
+	if fd != k.adopted {
+		return Accept(fd)
+	}
+	k.unblock() // others may have made it block again: whoever starts the next process, say
 	c, err := Accept(fd)
-	if err == nil && fd == k.adopted {
+	if err == nil {
 		unix.SetsockoptInt(c, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveMost)
 	}
 	return c, err
 }
 
 // Adopt takes over a listening socket that the process was started with. Others hold it too, so nothing about it is
-// changed but that it does not block: of two that accept, the second would wait.
+// changed but that it does not block: of two that accept, the second would wait. (One did, for good, after the starter
+// of the other had set the socket to blocking. Should that happen right before an accept, it takes some milliseconds.)
 func (k *Kernel) Adopt(fd int) error {
 	if on, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || on == 0 {
 		return fmt.Errorf("descriptor %d is not a listening socket (%v)", fd, err)
 	}
 	unix.CloseOnExec(fd)
-	flags, err := unix.FcntlInt(uintptr(fd), unix.F_GETFL, 0)
-	if err == nil && flags&unix.O_NONBLOCK == 0 {
-		err = unix.SetNonblock(fd, true)
+	k.adopted = fd
+	err := k.unblock()
+	if err == nil {
+		err = unix.SetsockoptTimeval(fd, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &unix.Timeval{Usec: 1000})
 	}
 	if err != nil {
 		return fmt.Errorf("descriptor %d: %w", fd, err)
 	}
-	k.adopted = fd
 	return nil
 }
 
+// unblock sees to it that the adopted listener does not block.
+func (k *Kernel) unblock() error {
+	flags, err := unix.FcntlInt(uintptr(k.adopted), unix.F_GETFL, 0)
+	if err == nil && flags&unix.O_NONBLOCK == 0 {
+		err = unix.SetNonblock(k.adopted, true)
+	}
+	return err
+}
+
+// Close closes a descriptor and ends its watch. The kernel ends a watch with the last descriptor of a socket, and of one
+// that was adopted others have more.
+func (k *Kernel) Close(fd int) {
+	if fd == k.adopted {
+		unix.EpollCtl(k.ep, unix.EPOLL_CTL_DEL, fd, nil)
+		k.adopted = 0
+	}
+	unix.Close(fd)
+}
+
 // Release gives the kernel's own descriptors back.
 func (k *Kernel) Release() {
 	unix.Close(k.ep)
@@ -129,4 +153,3 @@
 func (k *Kernel) Write(fd int, p []byte) (int, error)   { return Write(fd, p) }
 func (k *Kernel) Quiet(fd int) bool                     { return Quiet(fd) }
 func (k *Kernel) EndSending(fd int)                     { unix.Shutdown(fd, unix.SHUT_WR) }
-func (k *Kernel) Close(fd int)                          { unix.Close(fd) }
--- a/internal/loop/table.go
+++ b/internal/loop/table.go
@@ -20,6 +20,15 @@
 // NewTable returns a table for the given number of connections.
 func NewTable(limit int) *Table { return &Table{limit: limit, most: limit - limit/4} }
 
+// SetLimit changes the number of connections. What is not in use is closed as far as there are more.
+func (t *Table) SetLimit(limit int) {
+	t.limit, t.most = limit, limit-limit/4
+	for _, s := range t.sides {
+		for (t.Open() > t.limit || s.open > t.most) && s.shed() {
+		}
+	}
+}
+
 // Side adds a user. Shed closes one of its connections that is not in use and tells whether there was one;
 // the sides are asked in the order of their adding.
 func (t *Table) Side(shed func() bool) *Side {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,30 +22,33 @@
 )
 
 const (
-	ownSockets   = 20  // the loop's, the listener, discovery, the standard streams, the runtime's
-	spareSockets = 32  // for callers that come when all others are in use
-	readyWithin  = 500 // ms that the start waits for discovery before it serves by the list it knows
-	doorSockets  = 64  // for the operators' calls, but no more than an eighth of all
-	blindMost    = 25  // ms of one wait of the loop: a request may have come so much earlier than it is timed from
+	ownSockets   = 20     // the loop's, the listener, discovery, the standard streams, the runtime's
+	spareSockets = 32     // for callers that come when all others are in use
+	tableLeast   = 8      // connections, however little there is
+	readyWithin  = 500.0  // ms that the start waits for discovery before it serves by the list it knows
+	freshWithin  = 3000.0 // ms, if another process serves meanwhile
+	doorSockets  = 64     // for the operators' calls, but no more than an eighth of all
+	blindMost    = 25     // ms of one wait of the loop: a request may have come so much earlier than it is timed from
 )
 
 // Balancer is all parts of one. Its methods are called on its loop.
 type Balancer struct {
 	Counters counter.Set
 
-	config   *Config           // as it was read last
-	settings settings.Settings // the generation in force
-	log      *logrus.Entry
-	loop     *loop.Loop
-	table    *loop.Table
-	pool     *upstream.Pool
-	book     *discovery.Book
-	list     *discovery.Follower
-	driver   *driver.Driver
-	server   *downstream.Server
-	door     *control.Door
-	ending   bool
-	started  balance.Millis
+	config            *Config           // as it was read last
+	settings          settings.Settings // the generation in force
+	log               *logrus.Entry
+	loop              *loop.Loop
+	table             *loop.Table
+	pool              *upstream.Pool
+	book              *discovery.Book
+	list              *discovery.Follower
+	driver            *driver.Driver
+	server            *downstream.Server
+	door              *control.Door
+	listening, ending bool
+	shared            *shared // nil if no other process can take over
+	started           balance.Millis
 
 	reloads, badReloads *counter.Counter
 }
@@ -54,16 +57,16 @@
 func New(c *Config, l *loop.Loop, log *logrus.Entry) *Balancer {
 	b := &Balancer{config: c, settings: c.Settings, log: log, loop: l, started: l.Now(), book: discovery.NewBook(c.Settings.ZoneNames)}
 	l.WaitAtMost(blindMost)
-	spare := min(spareSockets, c.Limits.Sockets/16)
 	door := 0
 	if c.Admin.IsValid() {
-		door = min(doorSockets, c.Limits.Sockets/8)
+		door = doorSockets
 	}
-	b.table = loop.NewTable(c.Limits.Sockets - ownSockets - spare - door)
+	room := divide(c.Limits.Sockets, door)
+	b.table = loop.NewTable(room.table)
 	b.list = discovery.NewFollower(discovery.Options{Loop: l, Address: c.Discovery, Revision: c.Known.Revision,
 		Counters: &b.Counters, News: b.news, Note: func(s string) { log.Warn(s) }})
 	// The callers' side comes first in the table: their silent connections are shed before idle ones to upstreams.
-	b.server = downstream.NewServer(downstream.Options{Loop: l, Table: b.table, Spare: spare,
+	b.server = downstream.NewServer(downstream.Options{Loop: l, Table: b.table, Spare: room.spare,
 		Counters: &b.Counters, Ready: b.ready})
 	b.server.Settle(accepts(&b.settings))
 	b.pool = upstream.New(upstream.Options{Loop: l, Table: b.table, Counters: &b.Counters,
@@ -73,7 +76,7 @@
 	b.pool.Listen(b.driver)
 	b.server.Serve(b.driver)
 	if door > 0 {
-		b.door = control.New(control.Options{Loop: l, Room: door - 1, Counters: &b.Counters, Orders: orders{b}})
+		b.door = control.New(control.Options{Loop: l, Room: room.door - 1, Counters: &b.Counters, Orders: orders{b}})
 	}
 	b.reloads, b.badReloads = b.Counters.New("reloads"), b.Counters.New("reloads_failed")
 	b.Counters.Reading("connections", func() uint64 { return uint64(b.table.Open()) })
@@ -86,9 +89,23 @@
 	b.driver.List(b.book.Enter(u, b.pool), u.Complete)
 }
 
+// room is how descriptors are divided.
+type room struct{ table, spare, door int }
+
+// divide shares out so many descriptors, of which the door wants some.
+func divide(sockets, door int) room {
+	r := room{spare: min(spareSockets, sockets/16), door: min(door, sockets/8)}
+	r.table = max(tableLeast, sockets-ownSockets-r.spare-r.door)
+	return r
+}
+
 // ready reports whether the list is fresh, or discovery has had its time to say so.
 func (b *Balancer) ready() bool {
-	return b.list.Answered() || b.loop.Now() > b.started+readyWithin && len(b.config.Known.Members) > 0
+	within := readyWithin
+	if b.shared != nil && b.shared.halved { // the one that runs can wait
+		within = freshWithin
+	}
+	return b.list.Answered() || b.loop.Now() > b.started+within && len(b.config.Known.Members) > 0
 }
 
 // Start begins to serve.
@@ -96,27 +113,49 @@
 	b.news(b.config.Known)
 	b.driver.Start()
 	b.list.Start()
-	listen := func() error { return b.server.Listen(b.config.Listen) }
-	if b.config.ListenFD >= 0 {
-		listen = func() error { return b.server.ListenOn(b.config.ListenFD) }
+	if b.shared != nil {
+		b.shared.look()
 	}
-	if err := listen(); err != nil {
-		return err
+	if !b.listening && (b.shared == nil || !b.shared.halved) {
+		if err := b.listen(); err != nil {
+			return err
+		}
 	}
 	if b.door != nil {
 		if err := b.door.Listen(b.config.Admin); err != nil {
 			return err
 		}
 	}
-	b.log.WithFields(logrus.Fields{"listen": b.config.Listen, "tier": b.config.Settings.Stage}).Info("serving")
+	if b.shared != nil {
+		b.shared.watch()
+	}
 	return nil
 }
 
+// listen begins to take connections.
+func (b *Balancer) listen() error {
+	var err error
+	if b.config.ListenFD >= 0 {
+		err = b.server.ListenOn(b.config.ListenFD)
+	} else {
+		err = b.server.Listen(b.config.Listen)
+	}
+	if err == nil {
+		b.listening = true
+		b.log.WithFields(logrus.Fields{"listen": b.config.Listen, "tier": b.config.Settings.Stage}).Info("serving")
+	}
+	return err
+}
+
 // Drain begins the end: done is called when nothing is owed any more.
 func (b *Balancer) Drain(done func()) {
-	b.log.Info("ending")
+	followed := b.shared != nil && b.shared.followed()
+	b.log.WithField("followed", followed).Info("ending")
 	b.ending = true
-	b.server.Drain(done)
+	if b.shared != nil {
+		b.shared.publish()
+	}
+	b.server.Drain(done, followed)
 }
 
 // Close closes what is left: connections to upstreams and the watch of the list.
@@ -124,6 +163,9 @@
 	if b.door != nil {
 		b.door.Close()
 	}
+	if b.shared != nil {
+		b.shared.close()
+	}
 	b.list.Stop()
 	b.pool.Close()
 	b.log.WithField("counters", b.Counters.String()).Info("end")
