--- a/balance/api.go
+++ b/balance/api.go
@@ -120,6 +120,7 @@
 	EventListDelta                   // List: the changed entries
 	EventListFull                    // List: all entries; what is missing is gone
 	EventListFailed                  // an ActTrack failed
+	EventWhole                       // Request, ExpiresIn: the last byte of one that was Coming is there
 	EventSettings                    // Config: it replaces the settings for what comes from now on
 	EventBan                         // Upstream: operators take it out, whatever the list says
 	EventUnban                       // Upstream: it may serve again, restarted meanwhile
@@ -132,6 +133,8 @@
 	Outcome     Outcome
 	Done        bool // the request is concluded
 	ClientRetry bool
+	Coming      bool // of a request: its last byte is not there yet, and its time begins with that
+	Consumed    bool // of an outcome: a part of the request is used up, so it can't be sent again
 	Tenant      uint16
 	Attempt     int
 	Request     RequestID
@@ -157,6 +160,7 @@
 	ActTimer                    // After, Cookie
 	ActTrack                    // subscribe to the list
 	ActLog                      // Text
+	ActExpect                   // Request, Attempt, After: its time-out from now on, 0 for the caller's time
 )
 
 // Action is something an instance wants done.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -53,6 +53,8 @@
 		b.onOutcome(e)
 	case EventStream:
 		b.onStream(e)
+	case EventWhole:
+		b.onWhole(e)
 	case EventLeft:
 		if r := b.reqs[e.Request]; r != nil && !r.done {
 			b.conclude(r)
@@ -101,14 +103,16 @@
 	a := &r.attempts[e.Attempt]
 	a.over = true
 	r.out--
-	b.zones[b.group(a.up)].inflight--
-	b.zones[b.group(a.up)].byClass[r.class]--
-	a.up.inflight--
+	streamed := !a.busy && r.done
+	b.vacate(r, a)
+	r.consumed = r.consumed || e.Consumed
 	if e.Reported {
 		a.up.held, a.up.heldAt = e.Held, b.now
 	}
 	wasDone := r.done
-	b.judge(r, a, e)
+	if !streamed || e.Outcome != OK { // a stream was judged by its beginning
+		b.judge(r, a, e)
+	}
 	if !wasDone {
 		b.tally(r, a, e)
 	}
@@ -129,6 +133,7 @@
 func (b *Balancer) onStream(e *Event) {
 	if r := b.reqs[e.Request]; r != nil && e.Attempt < len(r.attempts) {
 		a := &r.attempts[e.Attempt]
+		b.vacate(r, a)
 		b.judge(r, a, &Event{Outcome: OK, Spent: e.Spent})
 		if !r.done {
 			b.tally(r, a, &Event{Outcome: OK, Spent: e.Spent})
@@ -137,6 +142,23 @@
 	}
 }
 
+// onWhole begins the time of a request whose last byte has come, and of its attempt: the upstream begins with that.
+func (b *Balancer) onWhole(e *Event) {
+	r := b.reqs[e.Request]
+	if r == nil || !r.coming || r.done {
+		return
+	}
+	r.coming, r.arrived, r.expires = false, b.now, b.now+e.ExpiresIn
+	r.until = b.usefulUntil(r, r.rules())
+	for i := range r.attempts {
+		if a := &r.attempts[i]; !a.over {
+			a.sent = b.now
+			b.occupy(r, a)
+			b.act(Action{Kind: ActExpect, Request: r.id, Attempt: i, After: b.patience(r)})
+		}
+	}
+}
+
 func (b *Balancer) onTimer(cookie uint64) {
 	switch {
 	case cookie == cookieTick:
@@ -157,7 +179,7 @@
 	r.done = true
 	b.unhold(r)
 	for i := range r.attempts {
-		if a := &r.attempts[i]; !a.over && r.cfg.CanCancel && !r.rules().Stream {
+		if a := &r.attempts[i]; !a.over && r.cfg.CanCancel && !r.rules().Stream && (a.busy || r.coming) {
 			b.act(Action{Kind: ActCancel, Request: r.id, Attempt: i})
 		}
 	}
@@ -576,10 +598,6 @@
 		}
 		return
 	}
-	after := 0.0
-	if r.until < r.expires {
-		after = max(b.cfg.Tick, r.until-b.now)
-	}
 	if len(r.attempts) > 0 {
 		b.retried[b.slot]++
 		b.retries++
@@ -589,15 +607,23 @@
 	if r.mayRun < 0 {
 		r.mayRun = len(r.attempts) - 1
 	}
-	b.zones[b.group(u)].inflight++
-	b.zones[b.group(u)].byClass[r.class]++
-	u.inflight++
+	if !r.coming {
+		b.occupy(r, &r.attempts[len(r.attempts)-1])
+	}
 	if float64(b.zones[0].inflight+b.zones[1].inflight) > b.peak {
 		b.choosePart()
 	}
 	u.sends++
 	u.tokens--
-	b.act(Action{Kind: ActSend, Request: r.id, Upstream: u.id, After: after})
+	b.act(Action{Kind: ActSend, Request: r.id, Upstream: u.id, After: b.patience(r)})
+}
+
+// patience is how long an attempt that begins now is waited for, 0 for as long as the caller waits.
+func (b *Balancer) patience(r *request) Millis {
+	if r.until >= r.expires {
+		return 0
+	}
+	return max(b.cfg.Tick, r.until-b.now)
 }
 
 // Health.
@@ -688,7 +714,7 @@
 	for _, r := range b.open {
 		for i := range r.attempts {
 			a := &r.attempts[i]
-			silent := !a.over && b.now-a.sent >= after && a.up.answered < a.sent
+			silent := a.busy && b.now-a.sent >= after && a.up.answered < a.sent
 			if silent && !a.up.hung && (a.up.inflight > 1 || b.now-a.sent > 2*after) && b.mayLeaveOut() {
 				a.up.hung = true
 			}
@@ -773,7 +799,7 @@
 	if len(r.attempts) >= min(maxTries, r.cfg.MaxAttempts) || b.retries+1 > retryShare*b.total.requests {
 		return false
 	}
-	if r.mayRun >= 0 && r.rules().Effect == Unsafe {
+	if r.consumed || r.mayRun >= 0 && r.rules().Effect == Unsafe {
 		return false
 	}
 	return r.until-b.now > b.usual[r.class].value/2 && r.until-b.now > 2*b.cfg.Tick
@@ -832,7 +858,7 @@
 // usefulUntil is the time after which an answer is worth nothing: the aim, where it is known and a late
 // answer earns nothing, and in any case the time at which the client gives up.
 func (b *Balancer) usefulUntil(r *request, c *Class) Millis {
-	if b.cfg.Stage > 0 || c.Late > 0 || c.Stream {
+	if b.cfg.Stage > 0 || c.Late > 0 || c.Stream || r.coming {
 		return r.expires
 	}
 	return min(r.expires, r.arrived+c.Aim-2*b.cfg.Tick)
--- a/balance/state.go
+++ b/balance/state.go
@@ -17,6 +17,8 @@
 	class    uint8
 	done     bool // concluded: nothing may go out for it any more
 	held     bool
+	coming   bool // its last byte is not there yet
+	consumed bool // it can't be sent again
 	worth    float64
 	arrived  Millis
 	until    Millis // after this an answer is worth nothing, or nobody waits for it
@@ -31,6 +33,7 @@
 	up   *upstream
 	sent Millis
 	over bool
+	busy bool // counts as in flight: the upstream has the request whole, and has not begun to answer
 }
 
 // count is what finished in one bucket of the window.
@@ -216,12 +219,34 @@
 	c := &b.cfg.Classes[e.Class]
 	*r = request{id: e.Request, cfg: b.cfg, class: e.Class, arrived: b.now, expires: b.now + e.ExpiresIn,
 		worth: c.Worth * b.tenantShare(int(e.Tenant)), attempts: r.attempts[:0], mayRun: -1}
+	r.coming = e.Coming
 	r.until = b.usefulUntil(r, c)
 	b.reqs[r.id] = r
 	b.open = append(b.open, r)
 	return r
 }
 
+// occupy counts an attempt as in flight.
+func (b *Balancer) occupy(r *request, a *attempt) {
+	a.busy = true
+	a.up.inflight++
+	z := &b.zones[b.group(a.up)]
+	z.inflight++
+	z.byClass[r.class]++
+}
+
+// vacate ends that.
+func (b *Balancer) vacate(r *request, a *attempt) {
+	if !a.busy {
+		return
+	}
+	a.busy = false
+	a.up.inflight--
+	z := &b.zones[b.group(a.up)]
+	z.inflight--
+	z.byClass[r.class]--
+}
+
 // unhold takes a request out of the queue.
 func (b *Balancer) unhold(r *request) {
 	if !r.held {
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -11,6 +11,7 @@
 
 	"salttrack/balance"
 	"salttrack/internal/exchange"
+	"salttrack/internal/flow"
 	"salttrack/internal/http1"
 	"salttrack/internal/invariant"
 	"salttrack/internal/loop"
@@ -30,9 +31,18 @@
 	pending   []byte // read, and not yet of use
 	resuming  bool   // pending is being worked off
 	exchange  *exchange.Exchange
+	upload    *flow.Flow // the body of the open request, as far as it is still coming
+	brought   int        // bytes of that since the last look
+	paused    bool       // and whether reading had to wait meanwhile
+	flow      *flow.Flow // the body of a long answer, as far as it is still coming
+	chunked   bool
+	moved     balance.Millis // when a part of a long answer was last taken
+	writing   bool
+	old       bool // HTTP/1.0
 	unsent    []byte
 	came      balance.Millis // when the bytes that are decoded came
 	continued bool           // leave to send the body was given
+	cut       bool           // the request was answered before it was whole
 	last      bool           // the connection ends with the present answer
 	lingering bool
 	ended     bool // closed
@@ -89,6 +99,18 @@
 	switch {
 	case c.lingering:
 		c.discard()
+	case c.upload != nil:
+		if events&loop.Error != 0 {
+			c.left()
+			return
+		}
+		c.readBody()
+	case c.flow != nil:
+		if events&(loop.Hup|loop.Error) != 0 {
+			c.broke()
+		} else {
+			c.write()
+		}
 	case c.exchange != nil: // nothing is read meanwhile: only its end is told
 		if events&(loop.Hup|loop.Error) != 0 {
 			c.left()
@@ -153,11 +175,12 @@
 		c.reject(status, true)
 		return
 	}
+	if c.dec.Long() {
+		c.beginLong(bytes.Clone(p[n:]))
+		return
+	}
 	if !c.dec.Done() {
-		if c.dec.WantsContinue() && !c.continued {
-			c.continued = true
-			c.s.Loop.Write(c.fd, []byte(http1.Continue)) // without it the sender goes on after a moment
-		}
+		c.leaveToSend()
 		c.heard = c.s.Loop.Now()
 		c.s.waiting.MoveToBack(c.place)
 		return
@@ -170,6 +193,131 @@
 	c.request(c.dec.Request())
 }
 
+// leaveToSend lets a sender go on to the body that waits for that.
+func (c *conn) leaveToSend() {
+	if c.dec.WantsContinue() && !c.continued {
+		c.continued = true
+		c.s.Loop.Write(c.fd, []byte(http1.Continue)) // without it the sender goes on after a moment
+	}
+}
+
+// beginLong takes a request whose body is too long to be taken whole. It may be answered before it is there.
+func (c *conn) beginLong(rest []byte) {
+	c.unwait()
+	f := flow.New(c.s.Flows, c.dec.Length())
+	f.First(c.dec.Divert(f.Write))
+	r := c.dec.Request()
+	r.Flow = f
+	f.Writer(func() {
+		if c.upload == f {
+			c.s.Loop.Watch(c.fd, loop.In|loop.Hup)
+		}
+	})
+	c.s.count.long.Inc()
+	c.upload, c.brought, c.paused = f, 0, false
+	c.timeout(bodyMost, c.bodySlow)
+	done := c.dec.Done()
+	c.request(r)
+	switch {
+	case c.upload == nil: // answered
+	case done:
+		c.bodyWhole(rest)
+	default:
+		c.leaveToSend()
+		f.Flush()
+	}
+}
+
+// readBody takes in what has come of a long body, as far as there is room for it.
+func (c *conn) readBody() {
+	f := c.upload
+	for range readMost {
+		room := f.Room()
+		if room == 0 {
+			c.paused = true
+			c.s.Loop.Watch(c.fd, 0)
+			return
+		}
+		n, err := c.s.Loop.Read(c.fd, c.s.buf[:min(room, readSize)])
+		switch {
+		case err == unix.EAGAIN:
+			f.Flush()
+			return
+		case err != nil || n == 0:
+			c.left()
+			return
+		}
+		c.came = c.s.Loop.Arrived()
+		c.brought += n
+		took, err := c.dec.Feed(c.s.buf[:n])
+		if err != nil {
+			c.bodyBad(err)
+			return
+		}
+		if c.dec.Done() {
+			c.bodyWhole(bytes.Clone(c.s.buf[took:n]))
+			return
+		}
+		if f.Flush(); c.upload != f { // answered meanwhile
+			return
+		}
+	}
+}
+
+// bodyWhole notes that the last byte of a long body has come: the request's time runs from now on.
+func (c *conn) bodyWhole(rest []byte) {
+	f, x := c.upload, c.exchange
+	c.upload, c.pending = nil, rest
+	c.timeout(0, nil)
+	c.s.Loop.Watch(c.fd, loop.Hup)
+	c.runs(x, x.Message.(*http1.Request))
+	f.End()
+	if c.exchange == x {
+		c.s.core.Whole(x)
+	}
+}
+
+// bodyBad ends a request whose body turns out malformed, or stands still. What an upstream has of it is not whole.
+func (c *conn) bodyBad(err error) {
+	status := 400
+	if e := (*http1.Error)(nil); errors.As(err, &e) {
+		status = e.Status
+	}
+	x := c.exchange
+	c.forget(x)
+	c.dropUpload()
+	c.s.core.Leave(x)
+	c.reject(status, true)
+}
+
+func (c *conn) dropUpload() {
+	if f := c.upload; f != nil {
+		c.upload = nil
+		f.Break()
+	}
+}
+
+// bodySlow looks whether a long body still moves.
+func (c *conn) bodySlow() {
+	if c.upload == nil {
+		return
+	}
+	if c.brought < bodyLeast && !c.paused {
+		c.s.count.late.Inc()
+		c.bodyBad(&http1.Error{Status: 408, Text: "body too slow"})
+		return
+	}
+	c.brought, c.paused = 0, c.upload.Room() == 0
+	c.upload.Flush()
+	c.timeout(bodyMost, c.bodySlow)
+}
+
+// runs lets a request's time run from its last byte, however slowly that came.
+func (c *conn) runs(x *exchange.Exchange, r *http1.Request) {
+	x.Deadline = c.came + r.Remaining*1000
+	x.Expires = x.Deadline - min(c.s.settings.Ahead, r.Remaining*1000/10)
+}
+
 // overdue gives a spare descriptor back, unless a request is still arriving on it.
 func (c *conn) overdue() {
 	if c.dec.Begun() && c.s.Loop.Now()-c.heard < overMost {
@@ -198,7 +346,7 @@
 func (c *conn) request(r http1.Request) {
 	s := c.s
 	c.asked++
-	c.last = r.Close
+	c.last, c.old = r.Close, r.Old
 	path, _, _ := strings.Cut(r.Target, "?")
 	if strings.HasPrefix(path, "/-/") {
 		c.own(path, r.Method)
@@ -215,8 +363,11 @@
 	default:
 		x := exchange.New(c, &r)
 		x.Class, x.Resent = class, r.Resent
-		x.Deadline = c.came + r.Remaining*1000 // a request's time counts from its last byte, however slowly it came
-		x.Expires = x.Deadline - min(s.settings.Ahead, r.Remaining*1000/10)
+		if x.Coming = c.upload != nil; x.Coming {
+			x.Deadline, x.Expires = s.Loop.Now()+farAway, s.Loop.Now()+farAway
+		} else {
+			c.runs(x, &r)
+		}
 		c.exchange = x
 		s.open[r.Txn] = struct{}{}
 		s.core.Take(x)
@@ -251,7 +402,7 @@
 	switch {
 	case safe != (r.Method == "GET"):
 		return 0, 405
-	case safe && len(r.Body) > 0, keyed != (r.Key != ""): // without a key its repeats could not be told apart
+	case safe && (len(r.Body) > 0 || r.Flow != nil), keyed != (r.Key != ""): // without a key its repeats could not be told apart
 		return 0, 400
 	case open: // another caller's: nobody could tell their attempts apart
 		return 0, 409
@@ -286,6 +437,8 @@
 func (c *conn) Answer(x *exchange.Exchange, a exchange.Answer) {
 	c.forget(x)
 	switch {
+	case a.Flow != nil:
+		c.answerLong(a.Flow)
 	case a.Verdict == exchange.Served:
 		c.answer(200, 0, false, a.Body)
 	case a.Verdict == exchange.Refused:
@@ -306,23 +459,81 @@
 // answer writes an answer. End says that the connection ends with it.
 func (c *conn) answer(status int, retryAfter balance.Millis, end bool, body []byte) {
 	invariant.Check(c.unsent == nil && c.exchange == nil && !c.lingering, "a connection has one answer at a time")
-	// To end it with an answer is the one way of having fewer connections by which no request can get lost.
-	c.last = c.last || end || c.over || c.s.draining || c.s.side.Crowded()
+	if f := c.upload; f != nil { // the rest of the request is not read any more, so nothing can follow it
+		c.upload, end = nil, true
+		f.Leave()
+		c.cut = true
+	}
+	c.last = c.last || end || c.ends()
 	c.s.count.status[status].Inc()
 	c.unsent = http1.AppendResponse(nil, status, retryAfter, c.last, body)
 	c.timeout(writeMost, c.broke)
 	c.write()
 }
 
+// ends reports whether the connection is to end with its answer: that is the one way of having fewer connections by which
+// no request can get lost.
+func (c *conn) ends() bool { return c.over || c.s.draining || c.s.side.Crowded() }
+
+// answerLong passes on an answer that is still coming.
+func (c *conn) answerLong(f *flow.Flow) {
+	invariant.Check(c.unsent == nil && c.exchange == nil && !c.lingering && c.upload == nil, "a connection has one answer at a time")
+	c.chunked = f.Length < 0 && !c.old
+	c.last = c.last || c.ends() || f.Length < 0 && c.old
+	c.s.count.status[200].Inc()
+	c.unsent = http1.AppendLongHead(nil, f.Length, c.chunked, c.last)
+	c.flow, c.moved = f, c.s.Loop.Now()
+	f.Reader(c.write)
+	c.timeout(writeMost, c.standsStill)
+	c.write()
+}
+
+// standsStill closes a connection on which a long answer is not taken any more.
+func (c *conn) standsStill() {
+	if rest := c.moved + writeMost - c.s.Loop.Now(); rest > 0 || len(c.unsent) == 0 && c.flow != nil && len(c.flow.Peek()) == 0 {
+		c.timeout(max(rest, writeMost/10), c.standsStill)
+		return
+	}
+	c.broke()
+}
+
+// next takes the next part of a long answer, and reports whether there is one to be written now.
+func (c *conn) next() bool {
+	f := c.flow
+	if f == nil {
+		return false
+	}
+	p := f.Peek()
+	p = p[:min(len(p), flow.BufferSize)]
+	switch {
+	case len(p) > 0:
+		if c.chunked {
+			c.unsent = http1.AppendChunk(nil, p)
+		} else {
+			c.unsent = bytes.Clone(p)
+		}
+		f.Take(len(p))
+		return true
+	case f.State() == flow.Ended:
+		if c.flow = nil; c.chunked {
+			c.unsent = append(c.unsent, http1.LastChunk...)
+		}
+		return c.chunked
+	case f.State() == flow.Broken: // its reader has to see that it is not whole
+		c.broke()
+	}
+	return false
+}
+
 // write writes what the kernel takes of the answer, and goes on to the next request after the last byte.
 func (c *conn) write() {
-	n, err := c.s.Loop.Write(c.fd, c.unsent)
-	if err != nil {
-		c.broke()
+	if c.writing || c.ended {
 		return
 	}
-	if c.unsent = c.unsent[n:]; len(c.unsent) > 0 {
-		c.s.Loop.Watch(c.fd, loop.Out)
+	c.writing = true
+	more := c.writeOn()
+	c.writing = false
+	if more || c.ended {
 		return
 	}
 	c.unsent, c.answered = nil, true
@@ -335,10 +546,37 @@
 	c.resume()
 }
 
+// writeOn writes what there is of an answer, and reports whether more of it is to come or to be taken.
+func (c *conn) writeOn() bool {
+	for len(c.unsent) > 0 || c.next() {
+		n, err := c.s.Loop.Write(c.fd, c.unsent)
+		if err != nil {
+			c.broke()
+			return true
+		}
+		if n > 0 {
+			c.moved = c.s.Loop.Now()
+		}
+		if c.unsent = c.unsent[n:]; len(c.unsent) > 0 {
+			events := uint32(loop.Out)
+			if c.flow != nil {
+				events |= loop.Hup
+			}
+			c.s.Loop.Watch(c.fd, events)
+			return true
+		}
+	}
+	if c.flow != nil && !c.ended {
+		c.s.Loop.Watch(c.fd, loop.Hup)
+	}
+	return c.flow != nil
+}
+
 // left tells that the caller has gone without its answer.
 func (c *conn) left() {
 	x := c.exchange
 	c.forget(x)
+	c.dropUpload()
 	c.close()
 	c.s.core.Leave(x)
 }
@@ -354,7 +592,11 @@
 func (c *conn) linger() {
 	c.lingering = true
 	c.s.Loop.EndSending(c.fd)
-	c.timeout(lingerMost, c.close)
+	if c.cut {
+		c.timeout(uploadRead, c.close)
+	} else {
+		c.timeout(lingerMost, c.close)
+	}
 	c.s.Loop.Watch(c.fd, loop.In|loop.Hup)
 	c.discard()
 }
@@ -380,6 +622,10 @@
 	c.unwait()
 	c.s.Loop.Close(c.fd)
 	c.release()
+	if f := c.flow; f != nil {
+		c.flow = nil
+		f.Leave()
+	}
 }
 
 // release takes the connection out of the server's books.
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -11,6 +11,7 @@
 	"salttrack/balance"
 	"salttrack/internal/counter"
 	"salttrack/internal/exchange"
+	"salttrack/internal/flow"
 	"salttrack/internal/loop"
 )
 
@@ -29,13 +30,19 @@
 	silentLeast = 1000.0 // ms without a byte, before a connection is shed to make room
 	silentShort = 100.0  // ms between requests, when there is no other way to take more
 	partLeast   = 3000.0 // ms without a byte in the middle of a request
-	overMost    = 1000.0 // ms that a connection on a spare descriptor has for its request
+	bodyMost    = 2500.0 // ms in which a long body has to bring bodyLeast, or its rest
+	bodyLeast   = 16 << 10
+	farAway     = 3600e3  // ms: when a request expires whose time has not begun
+	uploadRead  = 10000.0 // ms that a connection is read on after an answer that came before the request was whole
+	overMost    = 1000.0  // ms that a connection on a spare descriptor has for its request
 )
 
 // Core takes requests. Answers come back by the exchange.
 type Core interface {
 	Take(*exchange.Exchange)
 	Leave(*exchange.Exchange)
+	// Whole tells that the last byte has come of one that was taken before.
+	Whole(*exchange.Exchange)
 }
 
 // Options is what a server works with.
@@ -44,6 +51,7 @@
 	Table    *loop.Table
 	Spare    int // connections beyond the table, whose callers are only told to go elsewhere
 	Counters *counter.Set
+	Flows    *flow.Pool
 	Ready    func() bool // the instance knows its upstreams
 }
 
@@ -71,8 +79,8 @@
 }
 
 type counters struct {
-	accepted, requests, ready, bad, shed, overflow, pauses, resets, late, silent *counter.Counter
-	status                                                                       map[int]*counter.Counter
+	long, accepted, requests, ready, bad, shed, overflow, pauses, resets, late, silent *counter.Counter
+	status                                                                             map[int]*counter.Counter
 }
 
 // NewServer returns a server that does not listen yet.
@@ -80,7 +88,7 @@
 	s := &Server{Options: o, fd: -1, conns: map[*conn]struct{}{},
 		open: map[string]struct{}{}, waiting: list.New(), buf: make([]byte, readSize)}
 	n := o.Counters.New
-	s.count = counters{accepted: n("down_accepted"), requests: n("down_requests"), ready: n("ready_asked"),
+	s.count = counters{long: n("down_long"), accepted: n("down_accepted"), requests: n("down_requests"), ready: n("ready_asked"),
 		bad: n("bad_requests"), shed: n("down_shed"), overflow: n("down_overflow_refused"),
 		pauses: n("down_accept_pauses"), resets: n("down_broken"), late: n("down_timed_out"),
 		silent: n("down_closed_silent"), status: map[int]*counter.Counter{}}
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -18,6 +18,7 @@
 	"salttrack/internal/epoll"
 	"salttrack/internal/epoll/epolltest"
 	"salttrack/internal/exchange"
+	"salttrack/internal/flow"
 	"salttrack/internal/loop"
 )
 
@@ -28,15 +29,18 @@
 	addr  string
 	taken chan *exchange.Exchange
 	gone  chan *exchange.Exchange
+	whole chan *exchange.Exchange
 }
 
 func (r *rig) Take(x *exchange.Exchange)  { r.taken <- x }
+func (r *rig) Whole(x *exchange.Exchange) { r.whole <- x }
 func (r *rig) Leave(x *exchange.Exchange) { r.gone <- x }
 
 func newRig(t *testing.T, limit, spare int) *rig {
 	t.Helper()
-	r := &rig{Rig: epolltest.Start(t), taken: make(chan *exchange.Exchange, 1000), gone: make(chan *exchange.Exchange, 1000)}
-	r.s = NewServer(Options{Loop: r.Loop, Table: loop.NewTable(limit), Spare: spare, Counters: &r.Count, Ready: func() bool { return true }})
+	r := &rig{Rig: epolltest.Start(t), taken: make(chan *exchange.Exchange, 1000), gone: make(chan *exchange.Exchange, 1000),
+		whole: make(chan *exchange.Exchange, 1000)}
+	r.s = NewServer(Options{Loop: r.Loop, Table: loop.NewTable(limit), Flows: flow.NewPool(8), Spare: spare, Counters: &r.Count, Ready: func() bool { return true }})
 	r.s.Settle(&Settings{Classes: map[string]uint8{"read": 0, "pay": 1, "keep": 2},
 		Effects: []balance.Effect{balance.Safe, balance.Unsafe, balance.Keyed}, Ahead: 10})
 	r.s.Serve(r)
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -7,6 +7,7 @@
 	"salttrack/balance"
 	"salttrack/internal/counter"
 	"salttrack/internal/exchange"
+	"salttrack/internal/flow"
 	"salttrack/internal/invariant"
 	"salttrack/internal/timer"
 )
@@ -118,7 +119,48 @@
 	x.Rules = &d.classes[x.Class]
 	d.counters.taken.Inc()
 	d.handle(&balance.Event{Kind: balance.EventRequest, Request: x.ID, Class: x.Class, Tenant: x.Tenant,
-		ClientRetry: x.Resent, ExpiresIn: max(0, x.Expires-d.now())})
+		ClientRetry: x.Resent, Coming: x.Coming, ExpiresIn: max(0, x.Expires-d.now())})
+}
+
+// Whole tells that the last byte of a request has come, and that its time runs.
+func (d *Driver) Whole(x *exchange.Exchange) {
+	x.Coming = false
+	if x.Verdict() != exchange.Open {
+		return
+	}
+	for _, a := range x.Attempts {
+		if !a.Ended {
+			d.expect(a, x.Expires)
+		}
+	}
+	d.handle(&balance.Event{Kind: balance.EventWhole, Request: x.ID, ExpiresIn: max(0, x.Expires-d.now())})
+}
+
+// expect sets when an attempt is no longer waited for.
+func (d *Driver) expect(a *exchange.Attempt, until balance.Millis) {
+	a.Until = until
+	d.timers.Stop(d.timeouts[a])
+	d.timeouts[a] = d.timers.Set(until, func() { d.stop(a, balance.TimedOut) })
+}
+
+// Streams tells that an answer has begun to come which is too long to be taken whole. It is passed on as it comes, so it
+// is the final one, and no time-out acts on it from now on.
+func (d *Driver) Streams(a *exchange.Attempt, f *flow.Flow) {
+	x := a.Exchange
+	if a.Ended {
+		return
+	}
+	if x.Verdict() != exchange.Open { // it has its answer, or nobody waits
+		f.Leave()
+		d.stop(a, balance.Cancelled)
+		return
+	}
+	a.Streams = true
+	d.timers.Stop(d.timeouts[a])
+	delete(d.timeouts, a)
+	spent := d.now() - a.Sent
+	d.finish(x, exchange.Answer{Verdict: exchange.Served, Flow: f})
+	d.handle(&balance.Event{Kind: balance.EventStream, Request: x.ID, Attempt: a.Number, Upstream: a.Upstream, Spent: spent})
 }
 
 // Leave tells that the caller of an exchange has gone.
@@ -144,7 +186,7 @@
 		d.finish(x, exchange.Answer{Verdict: exchange.Failed, Fault: true})
 	}
 	d.handle(&balance.Event{Kind: balance.EventOutcome, Request: x.ID, Attempt: a.Number, Upstream: a.Upstream,
-		Outcome: r.Outcome, Spent: d.now() - a.Sent, Done: x.Verdict() != exchange.Open,
+		Outcome: r.Outcome, Spent: d.now() - a.Sent, Done: x.Verdict() != exchange.Open, Consumed: x.Consumed,
 		Reported: r.Reported, Held: r.Held})
 	d.forget(x)
 }
@@ -254,6 +296,10 @@
 			d.counters.cancels.Inc()
 			d.stop(x.Attempts[a.Attempt], balance.Cancelled)
 		}
+	case balance.ActExpect:
+		if try := x.Attempts[a.Attempt]; !try.Ended && a.After != 0 {
+			d.expect(try, min(x.Expires, d.now()+a.After))
+		}
 	}
 }
 
@@ -267,7 +313,7 @@
 		return
 	}
 	now, until := d.now(), x.Expires
-	if a.After != 0 {
+	if a.After != 0 && !x.Coming {
 		until = min(until, now+max(0, a.After))
 	}
 	invariant.Check(d.ready[a.Upstream] && !d.banned[a.Upstream], "nothing new goes to an upstream that drains, is gone or banned")
@@ -277,7 +323,7 @@
 	if try.Number > 0 {
 		d.counters.retries.Inc()
 	}
-	d.timeouts[try] = d.timers.Set(until, func() { d.stop(try, balance.TimedOut) })
+	d.expect(try, until)
 	d.ups.Start(try)
 }
 
--- a/internal/epoll/kernel.go
+++ b/internal/epoll/kernel.go
@@ -96,6 +96,7 @@
 	c, err := Accept(fd)
 	if err == nil {
 		unix.SetsockoptInt(c, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveMost)
+		unix.SetsockoptInt(c, unix.SOL_SOCKET, unix.SO_SNDBUF, sendMost)
 	}
 	return c, err
 }
--- a/internal/epoll/socket.go
+++ b/internal/epoll/socket.go
@@ -19,6 +19,12 @@
 // its own use).
 const receiveMost = 64 << 10
 
+// sendMost is what it holds of what is written and not taken, and connectedMost of an upstream's bytes.
+const (
+	sendMost      = 64 << 10
+	connectedMost = 64 << 10
+)
+
 const kind = unix.SOCK_STREAM | unix.SOCK_NONBLOCK | unix.SOCK_CLOEXEC
 
 // Listen returns a listening socket.
@@ -35,6 +41,9 @@
 	if err == nil {
 		err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveMost)
 	}
+	if err == nil {
+		err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, sendMost)
+	}
 	if err == nil {
 		err = unix.Bind(fd, sa)
 	}
@@ -56,6 +65,8 @@
 		return -1, err
 	}
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, connectedMost)
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, sendMost)
 	if err := unix.Connect(fd, sa); err != nil && err != unix.EINPROGRESS && err != unix.EINTR {
 		unix.Close(fd)
 		return -1, err
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -4,6 +4,7 @@
 
 import (
 	"salttrack/balance"
+	"salttrack/internal/flow"
 	"salttrack/internal/invariant"
 )
 
@@ -23,6 +24,7 @@
 type Answer struct {
 	Verdict    Verdict
 	Body       []byte         // of a served one: what an upstream made for this request
+	Flow       *flow.Flow     // of a served one whose body is still coming, in place of Body
 	RetryAfter balance.Millis // of a refused one: when to come back, 0 for no advice
 	Fault      bool           // of a failed one: the request itself is at fault
 }
@@ -44,6 +46,9 @@
 	Message  any            // the decoded request, which only the two sides of its protocol look into
 	Attempts []*Attempt
 
+	Coming   bool // the request's last byte has not come yet: its time does not run
+	Consumed bool // a part of its body has gone to an upstream and can't be sent again
+
 	caller  Caller
 	verdict Verdict
 	out     int // attempts that have not ended
@@ -57,6 +62,7 @@
 	Sent     balance.Millis
 	Until    balance.Millis // when it is no longer waited for
 	Whole    bool           // the request's last byte was written: it may have run
+	Streams  bool           // its answer is being passed on
 	Ended    bool
 	NeverRan bool // its outcome proves that it did not run
 }
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -1,5 +1,5 @@
-// Package http1 is the codec of HTTP/1.1 as salttrack speaks it: messages with small bodies, decoded once
-// from bytes that arrive in any pieces, and encoded once. It does no I/O.
+// Package http1 is the codec of HTTP/1.1 as salttrack speaks it: messages decoded once from bytes that arrive in any
+// pieces, small bodies with them and long ones passed on, and encoded once. It does no I/O.
 package http1
 
 import (
@@ -13,6 +13,7 @@
 const (
 	MaxHead = 16 << 10 // start line and fields; likewise a chunk's lines, and the trailers
 	MaxBody = 64 << 10
+	MaxLong = 33 << 20 // of a body that is passed on as it comes
 )
 
 // Error tells what is wrong with a message, and the status that answers a request which has that fault.
@@ -64,6 +65,10 @@
 	left  int64 // of the body or the chunk
 	body  []byte
 	sink  func([]byte) error // takes the body in place of body
+	pass  bool               // a body over MaxBody may be diverted
+	long  bool               // there is such a body
+	away  func([]byte)       // takes the rest of it
+	total int64              // of the body so far
 	crlf  bool               // every line has to end in CR LF; else only those that frame chunks
 }
 
@@ -71,7 +76,7 @@
 	if cap(d.line) > 1024 {
 		d.line = nil
 	}
-	*d = decoder{line: d.line[:0], sink: d.sink, crlf: d.crlf, frame: frame{length: -1}}
+	*d = decoder{line: d.line[:0], sink: d.sink, pass: d.pass, crlf: d.crlf, frame: frame{length: -1}}
 }
 
 // begun reports whether a part of a message has come.
@@ -131,13 +136,31 @@
 	if d.sink != nil {
 		return d.sink(p)
 	}
-	if len(d.body)+len(p) > MaxBody {
+	d.total += int64(len(p))
+	if d.total > MaxBody && !d.pass || d.total > MaxLong {
 		return &Error{413, "body too large"}
 	}
-	d.body = append(d.body, p...)
+	d.long = d.long || d.total > MaxBody
+	if d.away != nil {
+		d.away(p)
+	} else {
+		d.body = append(d.body, p...)
+	}
 	return nil
 }
 
+// Long reports whether the body is too long to be taken whole, and is to be diverted.
+func (d *decoder) Long() bool { return d.long && d.away == nil }
+
+// Length is that of a body that is framed by it, else -1.
+func (d *decoder) Length() int64 { return d.frame.length }
+
+// Divert lets the rest of a long body go elsewhere, and returns what has come of it.
+func (d *decoder) Divert(to func([]byte)) (first []byte) {
+	first, d.body, d.away = d.body, nil, to
+	return first
+}
+
 // whole handles one line without its end.
 func (d *decoder) whole(line []byte, h head) error {
 	for _, c := range line {
@@ -167,7 +190,10 @@
 		d.state = next
 		d.left = d.frame.length
 		if d.state == inBody && d.sink == nil && d.left > MaxBody {
-			return &Error{413, "body too large"}
+			if !d.pass || d.left > MaxLong {
+				return &Error{413, "body too large"}
+			}
+			d.long = true
 		}
 		if d.state == inBody && d.left == 0 {
 			d.state = inDone
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"math"
 	"strconv"
+
+	"salttrack/internal/flow"
 )
 
 // Request is one request of a caller, and what goes on of it to an upstream.
@@ -17,8 +19,10 @@
 	Remaining float64 // seconds that the sender waits; NaN if not told
 	Resent    bool
 	Close     bool // the connection ends with the answer
+	Old       bool // HTTP/1.0, which knows no chunks
 	Continue  bool // the sender waits for 100 before it sends the body
 	Body      []byte
+	Flow      *flow.Flow // a body that is still coming, in place of Body
 }
 
 // RequestDecoder decodes the requests of one connection, one after the other.
@@ -32,7 +36,7 @@
 // NewRequestDecoder returns a decoder ready for its first request.
 func NewRequestDecoder() *RequestDecoder {
 	d := &RequestDecoder{}
-	d.crlf = true
+	d.crlf, d.pass = true, true
 	d.Reset()
 	return d
 }
@@ -63,12 +67,12 @@
 
 // WantsContinue reports whether the sender waits for leave to send the body.
 func (d *RequestDecoder) WantsContinue() bool {
-	return d.req.Continue && len(d.body) == 0 && (d.state == inBody || d.state == inChunkSize)
+	return d.req.Continue && d.total == 0 && (d.state == inBody || d.state == inChunkSize)
 }
 
-// Request returns the whole request.
+// Request returns the whole request, or of a long one what came before its body.
 func (d *RequestDecoder) Request() Request {
-	d.req.Body, d.req.Close = d.body, d.conn.ends()
+	d.req.Body, d.req.Close, d.req.Old = d.body, d.conn.ends(), d.conn.minor == 0
 	return d.req
 }
 
@@ -212,7 +216,11 @@
 	if r.Resent {
 		p = appendField(p, "X-Resent", "1")
 	}
-	if len(r.Body) > 0 || r.Method != "GET" {
+	if r.Flow != nil && r.Flow.Length < 0 {
+		p = append(p, "Transfer-Encoding: chunked\r\n"...)
+	} else if r.Flow != nil {
+		p = append(strconv.AppendInt(append(p, "Content-Length: "...), r.Flow.Length, 10), "\r\n"...)
+	} else if len(r.Body) > 0 || r.Method != "GET" {
 		p = append(p, "Content-Length: "...)
 		p = append(strconv.AppendInt(p, int64(len(r.Body)), 10), "\r\n"...)
 	}
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -31,7 +31,7 @@
 // it comes, without limit.
 func NewResponseDecoder(sink func([]byte) error) *ResponseDecoder {
 	d := &ResponseDecoder{}
-	d.sink = sink
+	d.sink, d.pass = sink, sink == nil
 	d.Reset()
 	return d
 }
@@ -149,6 +149,30 @@
 	431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
 	502: "Bad Gateway", 503: "Service Unavailable", 505: "HTTP Version Not Supported"}
 
+// AppendLongHead encodes the head of a 200 whose body is passed on as it comes: by its length, in chunks if that is not known
+// (-1), or to the end of the connection for a reader that knows no chunks.
+func AppendLongHead(p []byte, length int64, chunks, end bool) []byte {
+	p = append(p, "HTTP/1.1 200 OK\r\n"...)
+	if length >= 0 {
+		p = append(strconv.AppendInt(append(p, "Content-Length: "...), length, 10), "\r\n"...)
+	} else if chunks {
+		p = append(p, "Transfer-Encoding: chunked\r\n"...)
+	}
+	if end {
+		p = append(p, "Connection: close\r\n"...)
+	}
+	return append(p, "\r\n"...)
+}
+
+// AppendChunk encodes a part of a body, which is not empty; LastChunk ends one.
+func AppendChunk(p, part []byte) []byte {
+	p = append(strconv.AppendInt(p, int64(len(part)), 16), "\r\n"...)
+	return append(append(p, part...), "\r\n"...)
+}
+
+// LastChunk ends a body in chunks.
+const LastChunk = "0\r\n\r\n"
+
 // AppendResponse encodes an answer. RetryAfter, in milliseconds, is left out where it is 0.
 func AppendResponse(p []byte, status int, retryAfter float64, end bool, body []byte) []byte {
 	p = append(strconv.AppendInt(append(p, "HTTP/1.1 "...), int64(status), 10), ' ')
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"salttrack/internal/discovery"
 	"salttrack/internal/downstream"
 	"salttrack/internal/driver"
+	"salttrack/internal/flow"
 	"salttrack/internal/invariant"
 	"salttrack/internal/loop"
 	"salttrack/internal/settings"
@@ -24,6 +25,7 @@
 const (
 	ownSockets   = 20     // the loop's, the listener, discovery, the standard streams, the runtime's
 	spareSockets = 32     // for callers that come when all others are in use
+	flowShare    = 0.125  // of the memory is for the buffers of long bodies
 	tableLeast   = 8      // connections, however little there is
 	readyWithin  = 500.0  // ms that the start waits for discovery before it serves by the list it knows
 	freshWithin  = 3000.0 // ms, if another process serves meanwhile
@@ -39,6 +41,7 @@
 	settings          settings.Settings // the generation in force
 	log               *logrus.Entry
 	loop              *loop.Loop
+	flows             *flow.Pool
 	table             *loop.Table
 	pool              *upstream.Pool
 	book              *discovery.Book
@@ -63,13 +66,14 @@
 	}
 	room := divide(c.Limits.Sockets, door)
 	b.table = loop.NewTable(room.table)
+	b.flows = flow.NewPool(buffers(c.Limits.MemoryMB))
 	b.list = discovery.NewFollower(discovery.Options{Loop: l, Address: c.Discovery, Revision: c.Known.Revision,
 		Counters: &b.Counters, News: b.news, Note: func(s string) { log.Warn(s) }})
 	// The callers' side comes first in the table: their silent connections are shed before idle ones to upstreams.
-	b.server = downstream.NewServer(downstream.Options{Loop: l, Table: b.table, Spare: room.spare,
+	b.server = downstream.NewServer(downstream.Options{Loop: l, Table: b.table, Flows: b.flows, Spare: room.spare,
 		Counters: &b.Counters, Ready: b.ready})
 	b.server.Settle(accepts(&b.settings))
-	b.pool = upstream.New(upstream.Options{Loop: l, Table: b.table, Counters: &b.Counters,
+	b.pool = upstream.New(upstream.Options{Loop: l, Table: b.table, Flows: b.flows, Counters: &b.Counters,
 		ConnectTimeout: c.Settings.ConnectTimeout, KeepAlive: c.Settings.KeepAlive, Reports: c.Settings.Inflight >= 0})
 	b.driver = driver.New(driver.Options{Config: c.Settings.Config, Seed: c.Seed, Now: l.Now, Timers: &l.Timers,
 		Upstreams: b.pool, Counters: &b.Counters, Note: func(s string) { log.Info(s) }})
@@ -79,6 +83,7 @@
 		b.door = control.New(control.Options{Loop: l, Room: room.door - 1, Counters: &b.Counters, Orders: orders{b}})
 	}
 	b.reloads, b.badReloads = b.Counters.New("reloads"), b.Counters.New("reloads_failed")
+	b.Counters.Reading("flow_buffers", func() uint64 { return uint64(b.flows.Used()) })
 	b.Counters.Reading("connections", func() uint64 { return uint64(b.table.Open()) })
 	b.Counters.Reading("invariants_broken", invariant.Broken)
 	return b
@@ -89,6 +94,9 @@
 	b.driver.List(b.book.Enter(u, b.pool), u.Complete)
 }
 
+// buffers is how many there are for long bodies.
+func buffers(memoryMB float64) int { return int(memoryMB * flowShare * (1 << 20) / flow.BufferSize) }
+
 // room is how descriptors are divided.
 type room struct{ table, spare, door int }
 
--- a/internal/node/shared.go
+++ b/internal/node/shared.go
@@ -94,7 +94,7 @@
 		return
 	}
 	s.halved = half
-	share := 1.0
+	share, limits := 1.0, s.b.config.Limits
 	if half {
 		share = 0.5
 	}
@@ -102,13 +102,14 @@
 	if s.b.door != nil {
 		door = doorSockets
 	}
-	r := divide(int(share*float64(s.b.config.Limits.Sockets)), door)
+	r := divide(int(share*float64(limits.Sockets)), door)
 	s.b.log.WithField("share", share).Info("descriptors and memory are divided anew")
 	s.b.server.Spare = r.spare
 	if s.b.door != nil {
 		s.b.door.Room = r.door - 1
 	}
 	s.b.table.SetLimit(r.table)
+	s.b.flows.SetLimit(buffers(share * limits.MemoryMB))
 	s.divide(share)
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"salttrack/balance"
 	"salttrack/internal/counter"
 	"salttrack/internal/exchange"
+	"salttrack/internal/flow"
 	"salttrack/internal/http1"
 	"salttrack/internal/invariant"
 	"salttrack/internal/loop"
@@ -31,15 +32,21 @@
 // keep the others waiting.
 const readMost = 4
 
+// stallMost is how many ms a long answer may stand still while there is room for it.
+const stallMost = 10000.0
+
 // Listener is told how attempts ended.
 type Listener interface {
 	Ended(*exchange.Attempt, exchange.Result)
+	// Streams tells that the answer to an attempt is long and comes by a flow. Ended follows.
+	Streams(*exchange.Attempt, *flow.Flow)
 }
 
 // Options is what a pool works with.
 type Options struct {
 	Loop           *loop.Loop
 	Table          *loop.Table
+	Flows          *flow.Pool
 	Counters       *counter.Set
 	ConnectTimeout balance.Millis
 	KeepAlive      balance.Millis
@@ -49,6 +56,7 @@
 // Pool holds the connections to all upstreams.
 type Pool struct {
 	loop     *loop.Loop
+	flows    *flow.Pool
 	side     *loop.Side
 	listener Listener
 	connect  balance.Millis
@@ -63,7 +71,7 @@
 }
 
 type counters struct {
-	opened, reused, refused, late, shed, closed, stale, malformed, noDescriptor *counter.Counter
+	opened, reused, refused, late, shed, closed, stale, malformed, noDescriptor, long, stalled *counter.Counter
 }
 
 // target is where one upstream listens, and its idle connections, the last used at the end.
@@ -77,13 +85,14 @@
 
 // New returns a pool without upstreams.
 func New(o Options) *Pool {
-	p := &Pool{loop: o.Loop, ups: map[balance.UpstreamID]*target{}, out: map[*exchange.Attempt]*conn{},
+	p := &Pool{loop: o.Loop, flows: o.Flows, ups: map[balance.UpstreamID]*target{}, out: map[*exchange.Attempt]*conn{},
 		idle: list.New(), buf: make([]byte, 64<<10)}
 	p.Settle(o.ConnectTimeout, o.KeepAlive, o.Reports)
 	n := o.Counters.New
 	p.count = counters{opened: n("up_connections"), reused: n("up_reused"), refused: n("up_connect_failed"),
 		late: n("up_connect_timed_out"), shed: n("up_shed"), closed: n("up_closed_idle"), stale: n("up_closed_by_peer"),
-		malformed: n("up_malformed"), noDescriptor: n("up_no_descriptor")}
+		malformed: n("up_malformed"), noDescriptor: n("up_no_descriptor"),
+		long: n("up_long"), stalled: n("up_long_stalled")}
 	o.Counters.Reading("up_open", func() uint64 { return uint64(len(p.out) + p.idle.Len()) })
 	p.side = o.Table.Side(p.shedIdle)
 	return p
@@ -245,8 +254,11 @@
 	connecting bool
 	dec        *http1.ResponseDecoder
 	attempt    *exchange.Attempt
-	unsent     []byte       // of the request
-	timer      *timer.Timer // connect time-out, or the end of idleness
+	unsent     []byte         // of the request
+	body       *flow.Flow     // of a request whose body is still coming, nil once all of it is sent or unsent
+	flow       *flow.Flow     // of a long answer
+	heard      balance.Millis // when a part of that came last, or there was room for it again
+	timer      *timer.Timer   // connect time-out, or the end of idleness
 	place      *list.Element
 	rested     balance.Millis // when it became idle
 	closed     bool
@@ -258,7 +270,14 @@
 	c.attempt = a
 	c.pool.out[a] = c
 	req := a.Exchange.Message.(*http1.Request)
-	c.unsent = http1.AppendRequest(nil, req, c.target.host, a.Until-c.pool.loop.Now())
+	remaining := a.Until - c.pool.loop.Now()
+	if a.Exchange.Coming {
+		remaining = req.Remaining * 1000
+	}
+	c.unsent = http1.AppendRequest(nil, req, c.target.host, remaining)
+	if c.body = req.Flow; c.body != nil {
+		c.body.Reader(c.send)
+	}
 	if !c.connecting {
 		c.send()
 	}
@@ -267,21 +286,55 @@
 // send writes what the kernel takes of the request. A connection that breaks before the last byte is
 // written has proved that the request never ran, unless an answer says otherwise.
 func (c *conn) send() {
-	n, err := c.pool.loop.Write(c.fd, c.unsent)
-	c.unsent = c.unsent[n:]
-	if err != nil {
-		c.receive()
-		if !c.closed && c.attempt != nil {
-			c.end(c.broken())
-		}
+	if c.connecting {
 		return
 	}
-	if len(c.unsent) == 0 {
-		c.unsent, c.attempt.Whole = nil, true
-		c.pool.loop.Watch(c.fd, loop.In|loop.Hup)
-	} else {
-		c.pool.loop.Watch(c.fd, loop.In|loop.Out|loop.Hup)
+	for len(c.unsent) > 0 || c.piece() {
+		n, err := c.pool.loop.Write(c.fd, c.unsent)
+		c.unsent = c.unsent[n:]
+		if err != nil {
+			c.receive()
+			if !c.closed && c.attempt != nil {
+				c.end(c.broken())
+			}
+			return
+		}
+		if len(c.unsent) > 0 {
+			c.pool.loop.Watch(c.fd, loop.In|loop.Out|loop.Hup)
+			return
+		}
+	}
+	if c.unsent = nil; c.body == nil {
+		c.attempt.Whole = true
+	}
+	c.pool.loop.Watch(c.fd, loop.In|loop.Hup)
+}
+
+// piece takes the next part of a body that is still coming, and reports whether there is one. From the first on the request
+// can't be sent again.
+func (c *conn) piece() bool {
+	f := c.body
+	if f == nil {
+		return false
 	}
+	p := f.Peek()
+	p = p[:min(len(p), flow.BufferSize)]
+	switch {
+	case len(p) > 0 && f.Length < 0:
+		c.unsent = http1.AppendChunk(nil, p)
+	case len(p) > 0:
+		c.unsent = append([]byte(nil), p...)
+	case f.State() != flow.Ended:
+		return false
+	default:
+		if c.body = nil; f.Length < 0 {
+			c.unsent = append(c.unsent, http1.LastChunk...)
+		}
+		return f.Length < 0
+	}
+	c.attempt.Exchange.Consumed = true
+	f.Take(len(p))
+	return true
 }
 
 // broken is the outcome of an attempt whose connection broke.
@@ -312,9 +365,12 @@
 		c.close()
 		return
 	}
-	if len(c.unsent) > 0 && events&loop.Out != 0 {
+	if events&loop.Out != 0 && (len(c.unsent) > 0 || c.body != nil) {
 		c.send()
 	}
+	if events&loop.Error != 0 && c.flow != nil && c.flow.Room() == 0 { // nothing can be read, and it would be told again and again
+		c.end(c.broken())
+	}
 	if !c.closed && c.attempt != nil && events&^loop.Out != 0 {
 		c.receive()
 	}
@@ -323,9 +379,21 @@
 // receive reads what has come. An answer that is not whole says no more than that the connection broke.
 func (c *conn) receive() {
 	for i := 0; i < readMost && c.attempt != nil && !c.closed; i++ {
-		n, err := c.pool.loop.Read(c.fd, c.pool.buf)
+		into := c.pool.buf
+		if c.flow != nil {
+			room := c.flow.Room()
+			if room == 0 { // the reader is slower: the upstream waits, as a caller of its own would let it
+				c.pool.loop.Watch(c.fd, 0)
+				return
+			}
+			into = into[:min(room, len(into))]
+		}
+		n, err := c.pool.loop.Read(c.fd, into)
 		switch {
 		case err == unix.EAGAIN:
+			if c.flow != nil {
+				c.flow.Flush()
+			}
 			return
 		case err != nil:
 			c.end(c.broken())
@@ -346,14 +414,61 @@
 		c.end(c.broken())
 		return
 	}
+	if c.dec.Long() && !c.stream() {
+		return
+	}
 	if c.dec.Done() {
 		c.answered(n == len(p))
+	} else if c.flow != nil {
+		c.heard = c.pool.loop.Now()
+		c.flow.Flush()
+	}
+}
+
+// stream begins to pass on an answer that is too long to be taken whole, and reports whether it goes on. Of any but a 200
+// the status says all.
+func (c *conn) stream() bool {
+	if c.dec.Status() != 200 || len(c.unsent) > 0 || c.body != nil {
+		c.answered(false)
+		return false
+	}
+	c.pool.count.long.Inc()
+	f := flow.New(c.pool.flows, c.dec.Length())
+	f.First(c.dec.Divert(f.Write))
+	f.Writer(func() {
+		if f.State() == flow.Left {
+			if c.flow == f {
+				c.end(balance.Cancelled)
+			}
+			return
+		}
+		c.heard = c.pool.loop.Now()
+		c.pool.loop.Watch(c.fd, loop.In|loop.Hup)
+	})
+	c.flow, c.heard = f, c.pool.loop.Now()
+	c.timer = c.pool.loop.After(stallMost, c.stalled)
+	c.pool.listener.Streams(c.attempt, f)
+	return c.flow == f && c.attempt != nil && !c.closed
+}
+
+// stalled ends a long answer that stands still though there is room for it.
+func (c *conn) stalled() {
+	now := c.pool.loop.Now()
+	if c.flow.Room() == 0 {
+		c.heard = now
 	}
+	c.flow.Flush()
+	if rest := c.heard + stallMost - now; rest > 0 {
+		c.timer = c.pool.loop.After(rest, c.stalled)
+		return
+	}
+	c.pool.count.stalled.Inc()
+	c.end(c.broken())
 }
 
 // answered ends the attempt by a whole answer. The connection is kept if both sides are done with it.
 func (c *conn) answered(clean bool) {
-	r, a, whole := c.dec.Response(), c.attempt, len(c.unsent) == 0
+	r, a, whole := c.dec.Response(), c.attempt, len(c.unsent) == 0 && c.body == nil
 	result := exchange.Result{Outcome: balance.Errored}
 	switch {
 	case r.Status == 200 && !whole: // no answer to this request: it is not all written
@@ -369,6 +484,12 @@
 	if c.pool.reports {
 		result.Held, result.Reported = http1.Figure(r.Pressure, "inflight")
 	}
+	if c.flow != nil {
+		c.flow.End()
+		if c.attempt != a || c.closed { // the caller has gone with the last byte
+			return
+		}
+	}
 	c.detach()
 	if clean && whole && !r.Close && c.current() {
 		c.rest()
@@ -427,6 +548,16 @@
 func (c *conn) detach() {
 	delete(c.pool.out, c.attempt)
 	c.attempt, c.unsent = nil, nil
+	if c.body != nil {
+		c.body.Reader(nil)
+		c.body = nil
+	}
+	c.pool.loop.Timers.Stop(c.timer)
+	c.timer = nil
+	if f := c.flow; f != nil {
+		c.flow = nil
+		f.Break() // unless it has ended
+	}
 }
 
 // end closes the connection and ends its attempt.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -15,6 +15,7 @@
 	"salttrack/internal/epoll"
 	"salttrack/internal/epoll/epolltest"
 	"salttrack/internal/exchange"
+	"salttrack/internal/flow"
 	"salttrack/internal/http1"
 	"salttrack/internal/loop"
 )
@@ -27,17 +28,19 @@
 // rig is a pool on a loop of its own.
 type rig struct {
 	*epolltest.Rig
-	p    *Pool
-	ends chan ending
+	p       *Pool
+	ends    chan ending
+	streams chan *flow.Flow
 }
 
 func (r *rig) Ended(a *exchange.Attempt, res exchange.Result)      { r.ends <- ending{a, res} }
+func (r *rig) Streams(a *exchange.Attempt, f *flow.Flow)           { r.streams <- f }
 func (r *rig) Answer(x *exchange.Exchange, answer exchange.Answer) {}
 
 func newRig(t *testing.T, limit int) *rig {
 	t.Helper()
-	r := &rig{Rig: epolltest.Start(t), ends: make(chan ending, 100)}
-	r.p = New(Options{Loop: r.Loop, Table: loop.NewTable(limit), Counters: &r.Count, ConnectTimeout: 250, KeepAlive: 15000, Reports: true})
+	r := &rig{Rig: epolltest.Start(t), ends: make(chan ending, 100), streams: make(chan *flow.Flow, 100)}
+	r.p = New(Options{Loop: r.Loop, Table: loop.NewTable(limit), Flows: flow.NewPool(8), Counters: &r.Count, ConnectTimeout: 250, KeepAlive: 15000, Reports: true})
 	r.p.Listen(r)
 	t.Cleanup(func() {
 		r.Do(r.p.Close)
