--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -32,6 +32,7 @@
 	resuming  bool   // pending is being worked off
 	exchange  *exchange.Exchange
 	upload    *flow.Flow // the body of the open request, as far as it is still coming
+	inBody    bool       // the head of a short one is there, and its body is coming
 	brought   int        // bytes of that since the last look
 	paused    bool       // and whether reading had to wait meanwhile
 	flow      *flow.Flow // the body of a long answer, as far as it is still coming
@@ -64,7 +65,7 @@
 func (c *conn) wait() {
 	c.dec.Reset()
 	c.heard = c.s.Loop.Now()
-	c.continued = false
+	c.continued, c.inBody = false, false
 	c.place = c.s.waiting.PushBack(c)
 	switch {
 	case c.over:
@@ -181,6 +182,12 @@
 	}
 	if !c.dec.Done() {
 		c.leaveToSend()
+		if c.dec.InBody() { // it has time of its own, as long as it moves
+			if c.brought += n; !c.inBody {
+				c.inBody, c.brought = true, 0
+				c.timeout(bodyMost, c.tooSlow)
+			}
+		}
 		c.heard = c.s.Loop.Now()
 		c.s.waiting.MoveToBack(c.place)
 		return
@@ -338,6 +345,11 @@
 		c.close()
 		return
 	}
+	if c.inBody && c.brought >= bodyLeast {
+		c.brought = 0
+		c.timeout(bodyMost, c.tooSlow)
+		return
+	}
 	c.s.count.late.Inc()
 	c.reject(408, true)
 }
--- /dev/null
+++ b/internal/flow/flow_test.go
@@ -0,0 +1,104 @@
+package flow
+
+import (
+	"bytes"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever the sizes in which bytes are written and taken, and however many flows share the buffers: each brings what was
+// written, in order, no more buffers are in use than there are, and all are given back.
+func TestFlow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		buffers := rapid.IntRange(1, 3).Draw(t, "buffers")
+		p := NewPool(buffers)
+		type way struct {
+			f        *Flow
+			in, out  []byte
+			woken    bool // the writer was told that there is room
+			finished bool
+		}
+		var ways []*way
+		for range rapid.IntRange(1, 4).Draw(t, "flows") {
+			w := &way{f: New(p, -1), woken: true}
+			w.f.Writer(func() { w.woken = true })
+			if first := rapid.SliceOfN(rapid.Byte(), 0, 5).Draw(t, "first"); len(first) > 0 {
+				w.f.First(first)
+				w.in = bytes.Clone(first)
+			}
+			ways = append(ways, w)
+		}
+		next := byte(0)
+		for range 60 {
+			w := ways[rapid.IntRange(0, len(ways)-1).Draw(t, "which")]
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0, 1, 2:
+				if !w.woken {
+					continue // it waits to be told
+				}
+				room := w.f.Room()
+				if w.woken = room > 0; !w.woken {
+					continue
+				}
+				n := min(room, rapid.SampledFrom([]int{0, 1, 100, BufferSize / 2, BufferSize}).Draw(t, "n"))
+				part := make([]byte, n)
+				for i := range part {
+					next++
+					part[i] = next
+				}
+				w.f.Write(part)
+				w.in = append(w.in, part...)
+				w.f.Flush()
+			case 3, 4:
+				got := w.f.Peek()
+				got = got[:min(len(got), rapid.SampledFrom([]int{1, 1000, BufferSize}).Draw(t, "m"))]
+				w.out = append(w.out, got...)
+				w.f.Take(len(got))
+			case 5:
+				if rapid.IntRange(0, 9).Draw(t, "end") == 0 {
+					w.f.End()
+					w.finished = true
+				}
+			}
+			if p.Used() > buffers {
+				t.Fatalf("%d buffers of %d are in use", p.Used(), buffers)
+			}
+		}
+		for _, w := range ways { // each is drained, and each that waits for a buffer gets one in the end
+			w.f.End()
+			for !w.f.Done() {
+				got := w.f.Peek()
+				w.out = append(w.out, got...)
+				w.f.Take(len(got))
+			}
+			if !bytes.Equal(w.in, w.out) {
+				t.Fatalf("%d bytes went in, %d came out", len(w.in), len(w.out))
+			}
+		}
+		if p.Used() != 0 || len(p.waiting) != 0 {
+			t.Fatalf("%d buffers are in use and %d flows wait at the end", p.Used(), len(p.waiting))
+		}
+	})
+}
+
+// One that waits for a buffer is told when there is one, also when that comes from a flow that breaks or is left.
+func TestWaitsForABuffer(t *testing.T) {
+	for name, free := range map[string]func(*Flow){"taken": func(f *Flow) { f.Take(1) }, "broken": (*Flow).Break, "left": (*Flow).Leave} {
+		p := NewPool(1)
+		a, b, told := New(p, -1), New(p, -1), 0
+		b.Writer(func() { told++ })
+		if a.Room() == 0 || b.Room() != 0 {
+			t.Fatal("one buffer serves two")
+		}
+		a.Write([]byte("x"))
+		free(a)
+		if told != 1 || b.Room() == 0 {
+			t.Errorf("%s: told %d times", name, told)
+		}
+		b.Flush()
+		if p.Used() != 0 {
+			t.Errorf("%s: %d buffers are in use", name, p.Used())
+		}
+	}
+}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -149,6 +149,9 @@
 	return nil
 }
 
+// InBody reports whether the head is whole and the body is not.
+func (d *decoder) InBody() bool { return d.state > inFields && d.state != inDone }
+
 // Long reports whether the body is too long to be taken whole, and is to be diverted.
 func (d *decoder) Long() bool { return d.long && d.away == nil }
 
@@ -201,6 +204,9 @@
 	case inChunkSize:
 		d.left, err = chunkSize(line)
 		d.state = inChunk
+		if err == nil && d.sink == nil && (d.total+d.left > MaxLong || !d.pass && d.total+d.left > MaxBody) {
+			err = &Error{413, "body too large"}
+		}
 		if d.left == 0 {
 			d.state = inTrailer
 		}
