--- a/balance/balance.go
+++ b/balance/balance.go
@@ -142,7 +142,8 @@
 	}
 }
 
-// onWhole begins the time of a request whose last byte has come, and of its attempt: the upstream begins with that.
+// onWhole begins the time of a request whose last byte has come, and of its attempt: the upstream begins
+// with that.
 func (b *Balancer) onWhole(e *Event) {
 	r := b.reqs[e.Request]
 	if r == nil || !r.coming || r.done {
@@ -179,7 +180,8 @@
 	r.done = true
 	b.unhold(r)
 	for i := range r.attempts {
-		if a := &r.attempts[i]; !a.over && r.cfg.CanCancel && !r.rules().Stream && (a.busy || r.coming) {
+		a := &r.attempts[i]
+		if !a.over && r.cfg.CanCancel && !r.rules().Stream && (a.busy || r.coming) {
 			b.act(Action{Kind: ActCancel, Request: r.id, Attempt: i})
 		}
 	}
@@ -459,8 +461,9 @@
 	}
 }
 
-// pick chooses an upstream for a request, or nil if none may be used. One that operators have let back is tried at
-// once, by one request: cold, it looks fuller than any other that is idle, and got none until it was warm.
+// pick chooses an upstream for a request, or nil if none may be used. One that operators have let back is
+// tried at once, by one request: cold, it looks fuller than any other that is idle, and got none until it
+// was warm.
 func (b *Balancer) pick(r *request) *upstream {
 	for _, u := range b.list {
 		if u.back && u.usable(b) && b.mayRepeat(r, u) && b.coldAllows(u) {
@@ -750,8 +753,8 @@
 	b.choosePart()
 }
 
-// onUnban lets it serve again. It was restarted meanwhile, so it is cold: since the start that the list has told
-// during the ban, or else from now on, whatever older start the list goes on telling.
+// onUnban lets it serve again. It was restarted meanwhile, so it is cold: since the start that the list has
+// told during the ban, or else from now on, whatever older start the list goes on telling.
 func (b *Balancer) onUnban(id UpstreamID) {
 	since, out := b.banned[id]
 	if !out {
--- a/internal/lab/planted/planted_test.go
+++ b/internal/lab/planted/planted_test.go
@@ -29,8 +29,8 @@
 		{"internal/discovery/members.go", `"terminating": balance.Draining`, `"terminating": balance.Ready`}}},
 	{"an unsafe request repeated after a reset", "twice", false, []edit{
 		{"balance/balance.go", `if r.mayRun < 0 || c.Effect == Safe {`, `if r.mayRun < 0 || c.Effect != Keyed {`},
-		{"balance/balance.go", `if r.mayRun >= 0 && b.cfg.Classes[r.class].Effect == Unsafe {`, `if false {`},
-		{"internal/driver/driver.go", `!d.effect[x.Class].once || x.NeverRan()`, `true`}}},
+		{"balance/balance.go", `if r.consumed || r.mayRun >= 0 && r.rules().Effect == Unsafe {`, `if r.consumed {`},
+		{"internal/driver/driver.go", `x.Rules.Effect != balance.Unsafe || x.NeverRan()`, `true`}}},
 	{"a keyed request sent to another zone", "twice", false, []edit{
 		{"balance/balance.go", `return c.Group == GroupAll || was.zone == u.zone && (c.Group == GroupZone || was.Cell == u.Cell)`,
 			`return c.Group == GroupAll || was.zone != u.zone || c.Group == GroupZone`}}},
@@ -42,7 +42,7 @@
 	c.write()`}}},
 	{"a late answer", "late lost", false, []edit{
 		{"internal/driver/driver.go", `now, until := d.now(), x.Expires`, `now, until := d.now(), x.Expires+300`},
-		{"internal/driver/driver.go", `ExpiresIn: max(0, x.Expires-d.now())})`, `ExpiresIn: max(0, x.Expires+300-d.now())})`}}},
+		{"internal/driver/driver.go", `Coming: x.Coming, ExpiresIn: max(0, x.Expires-d.now())})`, `Coming: x.Coming, ExpiresIn: max(0, x.Expires+300-d.now())})`}}},
 	{"a cold upstream overdriven", "cold", false, []edit{
 		{"balance/balance.go", `return u.tokens >= 1 || b.warmth(u) == 1 }`, `return true }`},
 		{"balance/balance.go", `	b.boundLoad()
@@ -56,8 +56,8 @@
 	{"a leaked descriptor", "left-over", false, []edit{
 		{"internal/downstream/server.go", `		s.Loop.Close(s.fd)
 		s.fd = -1
-		s.closeWaiting(false)`, `		s.fd = -1
-		s.closeWaiting(false)`}}},
+	}`, `		s.fd = -1
+	}`}}},
 	{"a leaked timer", "left-over", false, []edit{
 		{"internal/downstream/server.go", `			s.Loop.Timers.Stop(half)
 `, `			_ = half
@@ -89,7 +89,7 @@
 		p.ups[id] = t`}}},
 	{"a refusal after a run", "refusal", false, []edit{
 		{"balance/balance.go", `harmless := r.mayRun < 0 || c.Effect == Safe ||`, `harmless := true || c.Effect == Safe ||`},
-		{"internal/driver/driver.go", `x.Verdict() != exchange.Open || d.effect[x.Class].tells || x.NeverRan()`, `true`}}},
+		{"internal/driver/driver.go", `x.Verdict() != exchange.Open || tells(x.Rules) || x.NeverRan()`, `true`}}},
 	{"a watch that loses an update", "drain", false, []edit{
 		{"internal/discovery/watch.go", `	w.revision = u.Revision
 	w.News(u)`, `	w.revision = u.Revision
