Slow requests may arrive while a balancer ends, and are refused when it is too late

Cause: 1.65 s after SIGTERM connections with half a request were closed with no answer; a slow head takes 2 s.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -323,6 +323,9 @@
 func (c *conn) runs(x *exchange.Exchange, r *http1.Request) {
 	x.Deadline = c.came + r.Remaining*1000
 	x.Expires = x.Deadline - min(c.s.settings.Ahead, r.Remaining*1000/10)
+	if c.s.draining { // an answer that would come after the end of the process is none
+		x.Expires = min(x.Expires, max(c.s.endBy, c.s.Loop.Now()))
+	}
 }
 
 // overdue gives a spare descriptor back, unless a request is still arriving on it.
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -5,6 +5,7 @@
 	"container/list"
 	"fmt"
 	"net/netip"
+	"slices"
 
 	"golang.org/x/sys/unix"
 
@@ -12,6 +13,7 @@
 	"salttrack/internal/counter"
 	"salttrack/internal/exchange"
 	"salttrack/internal/flow"
+	"salttrack/internal/http1"
 	"salttrack/internal/loop"
 )
 
@@ -26,7 +28,9 @@
 	readMost    = 16     // buffers of that size read from one connection in one go
 	comeFor     = 500.0  // ms after the end was announced in which new connections still come
 	lastAccept  = 150.0  // ms more in which the listener stays open
-	halfMost    = 1000.0 // ms more for requests that have begun to arrive
+	halfMost    = 1650.0 // ms after it that requests which have begun to arrive have at the least
+	killAfter   = 500.0  // ms after the longest deadline, from the end's announcement on, in which all has to be answered
+	longestMost = 3000.0 // ms: the longest deadline that the end waits for
 	silentLeast = 1000.0 // ms without a byte, before a connection is shed to make room
 	silentShort = 100.0  // ms between requests, when there is no other way to take more
 	partLeast   = 3000.0 // ms without a byte in the middle of a request
@@ -59,6 +63,7 @@
 type Settings struct {
 	Classes map[string]uint8 // numbers of the classes that requests may name
 	Effects []balance.Effect // by number
+	Longest balance.Millis   // the longest deadline of all classes
 	Ahead   balance.Millis   // an answer is given so much before the caller gives up
 }
 
@@ -74,6 +79,7 @@
 	over     int                 // connections beyond the table
 	side     *loop.Side
 	draining bool
+	endBy    balance.Millis // when the process may be killed, once it is draining
 	buf      []byte
 	count    counters
 }
@@ -206,15 +212,17 @@
 		return
 	}
 	s.draining = true
+	half := max(halfMost, min(longestMost, s.settings.Longest))
+	s.endBy = s.Loop.Now() + half + killAfter
 	if followed {
 		s.unlisten()
 	}
-	s.Loop.After(comeFor, func() { s.closeWaiting(false) })
+	s.Loop.After(comeFor, s.closeWaiting)
 	s.Loop.After(comeFor+lastAccept, func() {
 		s.accept(1 << 20) // the kernel has accepted what waits there: it counts as taken
 		s.unlisten()
-		s.closeWaiting(false)
-		half := s.Loop.After(halfMost, func() { s.closeWaiting(true) })
+		s.closeWaiting()
+		half := s.Loop.After(half-comeFor-lastAccept, s.turnAway)
 		s.finish(func() {
 			s.Loop.Timers.Stop(half)
 			done()
@@ -239,14 +247,41 @@
 	s.Loop.After(10, func() { s.finish(done) })
 }
 
-// closeWaiting closes the connections between requests. With all it also closes those on which one has begun to
-// arrive and nothing more has come, and those that have brought none: a caller connects to ask, and its first request,
-// under way as the listener closes, would be lost with its connection, where a later one would come once more.
-func (s *Server) closeWaiting(all bool) {
+// closeWaiting closes the connections between requests: not those on which one has begun to arrive, and not those that
+// have brought none. A caller connects to ask, and its first request, under way as the listener closes, would be lost with its
+// connection, where a later one would come once more.
+func (s *Server) closeWaiting() {
 	for e := s.waiting.Front(); e != nil; {
 		c := e.Value.(*conn)
-		if e = e.Next(); (all || c.answered && !c.dec.Begun()) && s.Loop.Quiet(c.fd) {
+		if e = e.Next(); c.answered && !c.dec.Begun() && s.Loop.Quiet(c.fd) {
 			c.close()
 		}
 	}
 }
+
+// turnAway ends what has still not brought a whole request when it could no longer be answered in time. None of these ran,
+// so those that have begun are refused; a slow caller asks again, and meets whoever follows.
+func (s *Server) turnAway() {
+	for e := s.waiting.Front(); e != nil; {
+		c := e.Value.(*conn)
+		e = e.Next()
+		switch {
+		case c.dec.Begun():
+			c.reject(503, true)
+		case s.Loop.Quiet(c.fd):
+			c.close()
+		}
+	}
+	var uploads []*conn
+	for c := range s.conns {
+		if c.upload != nil {
+			uploads = append(uploads, c)
+		}
+	}
+	slices.SortFunc(uploads, func(a, b *conn) int { return a.fd - b.fd }) // in an order that is the same each time
+	for _, c := range uploads {
+		if c.upload != nil {
+			c.bodyBad(&http1.Error{Status: 503, Text: "the balancer ends"})
+		}
+	}
+}
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -725,3 +725,40 @@
 		t.Errorf("status %d", a.StatusCode)
 	}
 }
+
+// At the end a request that arrives slowly is served as long as it can still be answered in time, and is refused when it
+// can't: it was closed on after 1.65 s, with no answer.
+func TestDrainLetsSlowRequestsArrive(t *testing.T) {
+	r := newRig(t, 64, 4)
+	slow, never, upload := r.dial(), r.dial(), r.dial()
+	text := get("1")
+	slow.send(text[:30])
+	never.send(text[:30])
+	upload.send("POST /pay HTTP/1.1\r\nX-Txn: 9\r\nX-Lane: pay\r\nX-Remaining: 1\r\nContent-Length: 999999\r\n\r\nabc")
+	u := r.next()
+	r.WaitFor("down_accepted", 3)
+	r.Do(func() { r.s.settings.Longest = 2400; r.s.Drain(func() {}, true) })
+	for closed := false; !closed; { // past the listener's time
+		r.Do(func() {
+			closed = r.Loop.Now() > r.s.endBy-killAfter-600
+		})
+		time.Sleep(time.Millisecond)
+	}
+	slow.send(text[30:])
+	x := r.next()
+	if x.Expires > r.s.endBy {
+		t.Error("is to be answered after the end")
+	}
+	r.serve(x, "one")
+	if _, got := slow.answer(); got != "one" {
+		t.Errorf("answer %q", got)
+	}
+	for name, c := range map[string]*client{"half a head": never, "half a body": upload} {
+		if a, _ := c.answer(); a.StatusCode != 503 || !a.Close {
+			t.Errorf("%s: status %d", name, a.StatusCode)
+		}
+	}
+	if got := <-r.gone; got != u {
+		t.Error("the upload's exchange goes on")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -210,6 +210,7 @@
 			out.Classes[name] = uint8(i)
 		}
 		out.Effects = append(out.Effects, s.Classes[i].Effect)
+		out.Longest = max(out.Longest, s.Classes[i].Deadline)
 	}
 	return out
 }
