Long bodies never wait for good: lost buffers, upstreams that take nothing; limits of the start

Cause, found by reading: a flow that was told of a free buffer and ended without taking it left those behind it waiting; no time-out acts on an attempt whose request is still coming, so an upstream that took nothing of it held its caller for an hour; a reload replaced the limits that an upgrade divides, and named what waits for a start only once. Change: such a buffer goes to the next; a long request that stands still for 10 s ends as could not connect; what was read last is kept apart from what the process is.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -54,7 +54,7 @@
 	for n := p.limit - p.used; n > 0 && len(p.waiting) > 0; n-- {
 		f := p.waiting[0]
 		p.waiting = p.waiting[1:]
-		f.waits = false
+		f.waits, f.told = false, true
 		f.tellWriter()
 	}
 }
@@ -81,6 +81,7 @@
 	taken  int64 // bytes that the reader has taken
 	state  State
 	waits  bool // for a buffer
+	told   bool // that there is one, and has not come for it
 	reader func()
 	writer func()
 }
@@ -121,6 +122,7 @@
 	case f.state != Open || len(f.first) > 0:
 		return 0
 	case f.buf == nil:
+		f.told = false
 		if f.buf = f.pool.take(); f.buf == nil {
 			if !f.waits {
 				f.waits = true
@@ -226,7 +228,12 @@
 	}
 }
 
+// leaveQueue gives up its place among those that wait. A buffer that it was told of goes to the next.
 func (f *Flow) leaveQueue() {
+	if f.told {
+		f.told = false
+		f.pool.serve()
+	}
 	if !f.waits {
 		return
 	}
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -97,6 +97,19 @@
 			t.Errorf("%s: told %d times", name, told)
 		}
 		b.Flush()
+		// One that was told and goes without taking the buffer leaves it to the next: that one waited on for good.
+		if a = New(p, -1); a.Room() == 0 {
+			t.Fatal("the buffer is not free")
+		}
+		c, next := New(p, -1), New(p, -1)
+		next.Writer(func() { told++ })
+		if c.Room() != 0 || next.Room() != 0 {
+			t.Fatal("one buffer serves three")
+		}
+		a.Break()
+		if c.Leave(); told != 2 {
+			t.Errorf("%s: the one behind it was told %d times", name, told-1)
+		}
 		if p.Used() != 0 {
 			t.Errorf("%s: %d buffers are in use", name, p.Used())
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,7 +37,8 @@
 type Balancer struct {
 	Counters counter.Set
 
-	config            *Config           // as it was read last
+	config            *Config           // of the start: what it is, and what it may use
+	read              *Config           // as it was read last
 	settings          settings.Settings // the generation in force
 	log               *logrus.Entry
 	loop              *loop.Loop
@@ -58,7 +59,7 @@
 
 // New returns a balancer that does nothing yet.
 func New(c *Config, l *loop.Loop, log *logrus.Entry) *Balancer {
-	b := &Balancer{config: c, settings: c.Settings, log: log, loop: l, started: l.Now(), book: discovery.NewBook(c.Settings.ZoneNames)}
+	b := &Balancer{config: c, read: c, settings: c.Settings, log: log, loop: l, started: l.Now(), book: discovery.NewBook(c.Settings.ZoneNames)}
 	l.WaitAtMost(blindMost)
 	door := 0
 	if c.Admin.IsValid() {
@@ -221,7 +222,7 @@
 func (b *Balancer) Reconfigure(again *Config, err error) {
 	var next settings.Settings
 	if err == nil {
-		if path := again.lacks(b.config); path != "" {
+		if path := again.lacks(b.read); path != "" {
 			err = fmt.Errorf("configuration: %s is missing, which the running one has", path)
 		}
 	}
@@ -239,8 +240,7 @@
 		log = log.WithField("at_next_start", strings.Join(names, " "))
 	}
 	log.WithField("classes", strings.Join(again.Settings.ClassNames, " ")).Info("configuration read again")
-	again.ListenFD = b.config.ListenFD
-	b.config, b.settings = again, next
+	b.read, b.settings = again, next
 	b.driver.Settle(&next.Config)
 	b.server.Settle(accepts(&next))
 	b.pool.Settle(next.ConnectTimeout, next.KeepAlive, next.Inflight >= 0)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -32,7 +32,8 @@
 // keep the others waiting.
 const readMost = 4
 
-// stallMost is how many ms a long answer may stand still while there is room for it.
+// stallMost is how many ms a long answer may stand still while there is room for it, and a long request while there is
+// some of it to send.
 const stallMost = 10000.0
 
 // Listener is told how attempts ended.
@@ -257,7 +258,7 @@
 	unsent     []byte         // of the request
 	body       *flow.Flow     // of a request whose body is still coming, nil once all of it is sent or unsent
 	flow       *flow.Flow     // of a long answer
-	heard      balance.Millis // when a part of that came last, or there was room for it again
+	moved      balance.Millis // when a part of either went on last, or could again
 	timer      *timer.Timer   // connect time-out, or the end of idleness
 	place      *list.Element
 	rested     balance.Millis // when it became idle
@@ -279,8 +280,17 @@
 		c.body.Reader(c.send)
 	}
 	if !c.connecting {
-		c.send()
+		c.sendFirst()
+	}
+}
+
+// sendFirst begins to send on a connection that is up.
+func (c *conn) sendFirst() {
+	if c.body != nil { // no time-out acts on an attempt whose request is still coming
+		c.moved = c.pool.loop.Now()
+		c.timer = c.pool.loop.After(stallMost, c.stalled)
 	}
+	c.send()
 }
 
 // send writes what the kernel takes of the request. A connection that breaks before the last byte is
@@ -291,7 +301,9 @@
 	}
 	for len(c.unsent) > 0 || c.piece() {
 		n, err := c.pool.loop.Write(c.fd, c.unsent)
-		c.unsent = c.unsent[n:]
+		if c.unsent = c.unsent[n:]; n > 0 {
+			c.moved = c.pool.loop.Now()
+		}
 		if err != nil {
 			c.receive()
 			if !c.closed && c.attempt != nil {
@@ -359,6 +371,10 @@
 		c.connecting = false
 		c.pool.loop.Timers.Stop(c.timer)
 		c.timer = nil
+		c.sendFirst()
+		if c.closed {
+			return
+		}
 	}
 	if c.attempt == nil { // idle: whatever comes ends it
 		c.pool.count.stale.Inc()
@@ -420,7 +436,7 @@
 	if c.dec.Done() {
 		c.answered(n == len(p))
 	} else if c.flow != nil {
-		c.heard = c.pool.loop.Now()
+		c.moved = c.pool.loop.Now()
 		c.flow.Flush()
 	}
 }
@@ -442,23 +458,33 @@
 			}
 			return
 		}
-		c.heard = c.pool.loop.Now()
+		c.moved = c.pool.loop.Now()
 		c.pool.loop.Watch(c.fd, loop.In|loop.Hup)
 	})
-	c.flow, c.heard = f, c.pool.loop.Now()
+	c.flow, c.moved = f, c.pool.loop.Now()
+	c.pool.loop.Timers.Stop(c.timer)
 	c.timer = c.pool.loop.After(stallMost, c.stalled)
 	c.pool.listener.Streams(c.attempt, f)
 	return c.flow == f && c.attempt != nil && !c.closed
 }
 
-// stalled ends a long answer that stands still though there is room for it.
+// stalled ends an attempt whose long answer stands still though there is room for it, or whose long request does though
+// there is some of it to send.
 func (c *conn) stalled() {
 	now := c.pool.loop.Now()
-	if c.flow.Room() == 0 {
-		c.heard = now
+	switch {
+	case c.flow != nil:
+		if c.flow.Room() == 0 {
+			c.moved = now
+		}
+		c.flow.Flush()
+	case len(c.unsent) > 0:
+	case c.body != nil: // the caller has not brought more
+		c.moved = now
+	default: // all of it is sent: the attempt has its time-out
+		return
 	}
-	c.flow.Flush()
-	if rest := c.heard + stallMost - now; rest > 0 {
+	if rest := c.moved + stallMost - now; rest > 0 {
 		c.timer = c.pool.loop.After(rest, c.stalled)
 		return
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -420,3 +420,88 @@
 	r.start("x")
 	p.accept()
 }
+
+// What has nothing sent for it yet is given up as not sent when its upstream is taken out, and what is sent goes on.
+func TestWithdraw(t *testing.T) {
+	r := newRig(t, 64)
+	p := newPeer(t, r)
+	sent := r.start("a")
+	c := p.accept()
+	c.request()
+	x := exchange.New(r, &http1.Request{Method: "GET", Target: "/read/x", Txn: "78", Lane: "read"})
+	var waiting *exchange.Attempt
+	r.Do(func() {
+		waiting = x.Begin(1, r.Loop.Now(), r.Loop.Now()+480)
+		r.p.Start(waiting)
+		r.p.Withdraw(1)
+		r.p.Withdraw(2) // not known here
+	})
+	if got := r.end(waiting); got.Outcome != balance.Moot {
+		t.Errorf("what waits for its connection ends as %v", got.Outcome)
+	}
+	io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	if got := r.end(sent); got.Outcome != balance.OK {
+		t.Errorf("what was sent ends as %v", got.Outcome)
+	}
+}
+
+// A long request whose upstream takes nothing more, and a long answer that stands still, end: no time-out acts on either,
+// and the first held its caller, a descriptor and a buffer for an hour. One that waits for its own caller goes on.
+func TestStandsStill(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		body   int    // bytes that the caller brings
+		answer string // of the upstream
+		want   balance.Outcome
+	}{
+		{"an upstream that takes nothing", 8 << 20, "", balance.ConnectFailed},
+		{"a caller that brings nothing", 100, "", balance.OK},
+		{"an answer that stops", 0, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nabc", balance.Reset},
+	} {
+		r := newRig(t, 64)
+		p := newPeer(t, r)
+		q := &http1.Request{Method: "POST", Target: "/pay/x", Txn: "9", Lane: "pay", Remaining: 1}
+		x := exchange.New(r, q)
+		var a *exchange.Attempt
+		f := flow.New(r.p.flows, 16<<20)
+		if tt.body > 0 {
+			q.Flow, x.Coming = f, true
+			f.First(make([]byte, tt.body))
+		}
+		r.Do(func() {
+			a = x.Begin(1, r.Loop.Now(), r.Loop.Now()+3600e3)
+			r.p.Start(a)
+		})
+		c := p.accept()
+		io.WriteString(c, tt.answer)
+		if tt.answer != "" {
+			got := <-r.streams
+			r.Do(func() { got.Take(3) })
+		}
+		stuck := func() (still bool) {
+			r.Do(func() {
+				for _, c := range r.p.busy() {
+					still = tt.answer != "" || len(c.unsent) > 0 || c.body != nil && len(f.Peek()) == 0
+				}
+			})
+			return still
+		}
+		for !stuck() {
+			time.Sleep(time.Millisecond)
+		}
+		r.Do(func() { // as if the time had passed
+			for _, c := range r.p.busy() {
+				c.moved -= stallMost
+			}
+		})
+		r.Pass(stallMost + 1)
+		if tt.want == balance.OK {
+			if len(r.ends) != 0 {
+				t.Errorf("%s: it ends as %v", tt.name, (<-r.ends).r.Outcome)
+			}
+			r.Do(func() { r.p.Stop(a) })
+		} else if got := r.end(a); got.Outcome != tt.want || r.Counted("up_long_stalled") != 1 {
+			t.Errorf("%s: it ends as %v", tt.name, got.Outcome)
+		}
+	}
+}
