One writer of long bodies for both sides, without a copy; descriptors divided in one place

Cause: both sides took, framed and copied parts of a flow by code of their own; the door's descriptors were worked out twice, the status of a fault three times, and a body's progress was judged by two timers. Change: http1.Body writes straight from the pooled buffer; Config.divide; http1.StatusOf; one look at a body's progress; limits that are lost are found by the mechanism of settings; a record is encoded only when it changes; state that nothing read is gone. No check, bound or assertion changed.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -5,7 +5,6 @@
 import (
 	"container/list"
 	"encoding/json"
-	"errors"
 	"net/netip"
 	"net/url"
 	"strings"
@@ -32,9 +31,8 @@
 type Orders interface {
 	// Ready reports whether the balancer can serve.
 	Ready() bool
-	// Offline takes an upstream out, Online lets it serve again. Each reports whether the id was ever listed.
-	Offline(id string) bool
-	Online(id string) bool
+	// Order takes an upstream out, or lets it serve again. It reports whether the id was ever listed.
+	Order(id string, out bool) bool
 }
 
 // Options is what a door works with.
@@ -194,8 +192,8 @@
 
 func (c *call) take(p []byte) {
 	_, err := c.dec.Feed(p)
-	if e := (*http1.Error)(nil); errors.As(err, &e) {
-		c.answer(e.Status, e.Text)
+	if err != nil {
+		c.answer(http1.StatusOf(err), err.Error())
 		return
 	}
 	if c.dec.Done() {
@@ -228,11 +226,7 @@
 		if err != nil || id == "" {
 			return 400, "malformed id of an upstream"
 		}
-		order := d.Orders.Online
-		if parts[3] == "offline" {
-			order = d.Orders.Offline
-		}
-		if !order(id) {
+		if !d.Orders.Order(id, parts[3] == "offline") {
 			return 404, "no upstream of this id was ever listed"
 		}
 		return 200, ""
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -19,15 +19,13 @@
 type orders struct{ done chan string }
 
 func (o *orders) Ready() bool { return true }
-func (o *orders) order(what, id string) bool {
+func (o *orders) Order(id string, out bool) bool {
 	if id != "s-1" && id != "a/b.c %" {
 		return false
 	}
-	o.done <- what + " " + id
+	o.done <- map[bool]string{true: "offline ", false: "online "}[out] + id
 	return true
 }
-func (o *orders) Offline(id string) bool { return o.order("offline", id) }
-func (o *orders) Online(id string) bool  { return o.order("online", id) }
 
 func open(t *testing.T, room int) (*epolltest.Rig, *orders, netip.AddrPort) {
 	t.Helper()
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"container/list"
-	"errors"
 	"math"
 	"strings"
 
@@ -32,14 +31,13 @@
 	resuming  bool   // pending is being worked off
 	exchange  *exchange.Exchange
 	upload    *flow.Flow // the body of the open request, as far as it is still coming
-	inBody    bool       // the head of a short one is there, and its body is coming
+	inBody    bool       // the head is there, and the body is coming
 	brought   int        // bytes of that since the last look
 	paused    bool       // and whether reading had to wait meanwhile
-	flow      *flow.Flow // the body of a long answer, as far as it is still coming
-	chunked   bool
-	moved     balance.Millis // when a part of a long answer was last taken
+	flow      *flow.Flow // the body of a long answer, and what writes it
+	body      *http1.Body
+	moved     balance.Millis // when a part of that was last taken
 	writing   bool
-	old       bool // HTTP/1.0
 	unsent    []byte
 	came      balance.Millis // when the bytes that are decoded came
 	continued bool           // leave to send the body was given
@@ -169,11 +167,7 @@
 	}
 	n, err := c.dec.Feed(p)
 	if err != nil {
-		status := 400
-		if e := (*http1.Error)(nil); errors.As(err, &e) {
-			status = e.Status
-		}
-		c.reject(status, true)
+		c.reject(http1.StatusOf(err), true)
 		return
 	}
 	if c.dec.Long() {
@@ -221,8 +215,8 @@
 		}
 	})
 	c.s.count.long.Inc()
-	c.upload, c.brought, c.paused = f, 0, false
-	c.timeout(bodyMost, c.bodySlow)
+	c.upload, c.inBody, c.brought, c.paused = f, true, 0, false
+	c.timeout(bodyMost, c.tooSlow)
 	done := c.dec.Done()
 	c.request(r)
 	switch {
@@ -258,7 +252,7 @@
 		c.brought += n
 		took, err := c.dec.Feed(c.s.buf[:n])
 		if err != nil {
-			c.bodyBad(err)
+			c.abandon(http1.StatusOf(err))
 			return
 		}
 		if c.dec.Done() {
@@ -284,12 +278,8 @@
 	}
 }
 
-// bodyBad ends a request whose body turns out malformed, or stands still. What an upstream has of it is not whole.
-func (c *conn) bodyBad(err error) {
-	status := 400
-	if e := (*http1.Error)(nil); errors.As(err, &e) {
-		status = e.Status
-	}
+// abandon ends a request before its long body is there. What an upstream has of it is not whole.
+func (c *conn) abandon(status int) {
 	x := c.exchange
 	c.forget(x)
 	c.dropUpload()
@@ -304,21 +294,6 @@
 	}
 }
 
-// bodySlow looks whether a long body still moves.
-func (c *conn) bodySlow() {
-	if c.upload == nil {
-		return
-	}
-	if c.brought < bodyLeast && !c.paused {
-		c.s.count.late.Inc()
-		c.bodyBad(&http1.Error{Status: 408, Text: "body too slow"})
-		return
-	}
-	c.brought, c.paused = 0, c.upload.Room() == 0
-	c.upload.Flush()
-	c.timeout(bodyMost, c.bodySlow)
-}
-
 // runs lets a request's time run from its last byte, however slowly that came.
 func (c *conn) runs(x *exchange.Exchange, r *http1.Request) {
 	x.Deadline = c.came + r.Remaining*1000
@@ -337,7 +312,7 @@
 	c.close()
 }
 
-// tooSlow ends a connection whose time to bring a request is over.
+// tooSlow ends a connection whose time to bring a request is over. A body that moves, or has to wait, has more.
 func (c *conn) tooSlow() {
 	if !c.dec.Begun() {
 		if !c.s.Loop.Quiet(c.fd) { // a request has just come
@@ -348,20 +323,26 @@
 		c.close()
 		return
 	}
-	if c.inBody && c.brought >= bodyLeast {
-		c.brought = 0
+	if c.inBody && (c.brought >= bodyLeast || c.paused) {
+		if c.brought, c.paused = 0, false; c.upload != nil {
+			c.paused = c.upload.Room() == 0
+			c.upload.Flush()
+		}
 		c.timeout(bodyMost, c.tooSlow)
 		return
 	}
-	c.s.count.late.Inc()
-	c.reject(408, true)
+	if c.s.count.late.Inc(); c.upload != nil {
+		c.abandon(408)
+	} else {
+		c.reject(408, true)
+	}
 }
 
 // request handles a whole request.
 func (c *conn) request(r http1.Request) {
 	s := c.s
 	c.asked++
-	c.last, c.old = r.Close, r.Old
+	c.last = r.Close
 	path, _, _ := strings.Cut(r.Target, "?")
 	if strings.HasPrefix(path, "/-/") {
 		c.own(path, r.Method)
@@ -453,7 +434,7 @@
 	c.forget(x)
 	switch {
 	case a.Flow != nil:
-		c.answerLong(a.Flow)
+		c.answerLong(a.Flow, x.Message.(*http1.Request).Old)
 	case a.Verdict == exchange.Served:
 		c.answer(200, 0, false, a.Body)
 	case a.Verdict == exchange.Refused:
@@ -490,14 +471,14 @@
 // no request can get lost.
 func (c *conn) ends() bool { return c.over || c.s.draining || c.s.side.Crowded() }
 
-// answerLong passes on an answer that is still coming.
-func (c *conn) answerLong(f *flow.Flow) {
+// answerLong passes on an answer that is still coming, to a caller that may know no chunks.
+func (c *conn) answerLong(f *flow.Flow, old bool) {
 	invariant.Check(c.unsent == nil && c.exchange == nil && !c.lingering && c.upload == nil, "a connection has one answer at a time")
-	c.chunked = f.Length < 0 && !c.old
-	c.last = c.last || c.ends() || f.Length < 0 && c.old
+	chunks := f.Length < 0 && !old
+	c.last = c.last || c.ends() || f.Length < 0 && old
 	c.s.count.status[200].Inc()
-	c.unsent = http1.AppendLongHead(nil, f.Length, c.chunked, c.last)
-	c.flow, c.moved = f, c.s.Loop.Now()
+	c.unsent = http1.AppendLongHead(nil, f.Length, chunks, c.last)
+	c.flow, c.body, c.moved = f, http1.NewBody(f, chunks), c.s.Loop.Now()
 	f.Reader(c.write)
 	c.timeout(writeMost, c.standsStill)
 	c.write()
@@ -505,41 +486,13 @@
 
 // standsStill closes a connection on which a long answer is not taken any more.
 func (c *conn) standsStill() {
-	if rest := c.moved + writeMost - c.s.Loop.Now(); rest > 0 || len(c.unsent) == 0 && c.flow != nil && len(c.flow.Peek()) == 0 {
+	if rest := c.moved + writeMost - c.s.Loop.Now(); rest > 0 || len(c.next()) == 0 {
 		c.timeout(max(rest, writeMost/10), c.standsStill)
 		return
 	}
 	c.broke()
 }
 
-// next takes the next part of a long answer, and reports whether there is one to be written now.
-func (c *conn) next() bool {
-	f := c.flow
-	if f == nil {
-		return false
-	}
-	p := f.Peek()
-	p = p[:min(len(p), flow.BufferSize)]
-	switch {
-	case len(p) > 0:
-		if c.chunked {
-			c.unsent = http1.AppendChunk(nil, p)
-		} else {
-			c.unsent = bytes.Clone(p)
-		}
-		f.Take(len(p))
-		return true
-	case f.State() == flow.Ended:
-		if c.flow = nil; c.chunked {
-			c.unsent = append(c.unsent, http1.LastChunk...)
-		}
-		return c.chunked
-	case f.State() == flow.Broken: // its reader has to see that it is not whole
-		c.broke()
-	}
-	return false
-}
-
 // write writes what the kernel takes of the answer, and goes on to the next request after the last byte.
 func (c *conn) write() {
 	if c.writing || c.ended {
@@ -561,18 +514,31 @@
 	c.resume()
 }
 
+// next returns what of an answer is to be written now.
+func (c *conn) next() []byte {
+	if len(c.unsent) > 0 || c.body == nil {
+		return c.unsent
+	}
+	return c.body.Next()
+}
+
 // writeOn writes what there is of an answer, and reports whether more of it is to come or to be taken.
 func (c *conn) writeOn() bool {
-	for len(c.unsent) > 0 || c.next() {
-		n, err := c.s.Loop.Write(c.fd, c.unsent)
+	for p := c.next(); len(p) > 0; p = c.next() {
+		n, err := c.s.Loop.Write(c.fd, p)
 		if err != nil {
 			c.broke()
 			return true
 		}
-		if n > 0 {
+		if len(c.unsent) > 0 {
+			c.unsent = c.unsent[n:]
+		} else {
+			c.body.Wrote(n)
+		}
+		if c.flow != nil && n > 0 {
 			c.moved = c.s.Loop.Now()
 		}
-		if c.unsent = c.unsent[n:]; len(c.unsent) > 0 {
+		if n < len(p) {
 			events := uint32(loop.Out)
 			if c.flow != nil {
 				events |= loop.Hup
@@ -581,10 +547,18 @@
 			return true
 		}
 	}
-	if c.flow != nil && !c.ended {
+	switch {
+	case c.flow == nil:
+		return false
+	case c.body.Done():
+		c.flow, c.body = nil, nil
+		return false
+	case c.flow.State() == flow.Broken: // its reader has to see that it is not whole
+		c.broke()
+	default:
 		c.s.Loop.Watch(c.fd, loop.Hup)
 	}
-	return c.flow != nil
+	return true
 }
 
 // left tells that the caller has gone without its answer.
@@ -638,7 +612,7 @@
 	c.s.Loop.Close(c.fd)
 	c.release()
 	if f := c.flow; f != nil {
-		c.flow = nil
+		c.flow, c.body = nil, nil
 		f.Leave()
 	}
 }
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -13,7 +13,6 @@
 	"salttrack/internal/counter"
 	"salttrack/internal/exchange"
 	"salttrack/internal/flow"
-	"salttrack/internal/http1"
 	"salttrack/internal/loop"
 )
 
@@ -212,8 +211,8 @@
 		return
 	}
 	s.draining = true
-	half := max(halfMost, min(longestMost, s.settings.Longest))
-	s.endBy = s.Loop.Now() + half + killAfter
+	latest := max(halfMost, min(longestMost, s.settings.Longest))
+	s.endBy = s.Loop.Now() + latest + killAfter
 	if followed {
 		s.unlisten()
 	}
@@ -222,7 +221,7 @@
 		s.accept(1 << 20) // the kernel has accepted what waits there: it counts as taken
 		s.unlisten()
 		s.closeWaiting()
-		half := s.Loop.After(half-comeFor-lastAccept, s.turnAway)
+		half := s.Loop.After(latest-comeFor-lastAccept, s.turnAway)
 		s.finish(func() {
 			s.Loop.Timers.Stop(half)
 			done()
@@ -281,7 +280,7 @@
 	slices.SortFunc(uploads, func(a, b *conn) int { return a.fd - b.fd }) // in an order that is the same each time
 	for _, c := range uploads {
 		if c.upload != nil {
-			c.bodyBad(&http1.Error{Status: 503, Text: "the balancer ends"})
+			c.abandon(503)
 		}
 	}
 }
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -72,7 +72,8 @@
 
 // New returns a driver whose instance has just started. Start sets it going.
 func New(o Options) *Driver {
-	d := &Driver{now: o.Now, timers: o.Timers, ups: o.Upstreams, note: o.Note, ready: map[balance.UpstreamID]bool{}, banned: map[balance.UpstreamID]bool{},
+	d := &Driver{now: o.Now, timers: o.Timers, ups: o.Upstreams, note: o.Note, classes: o.Config.Classes,
+		ready: map[balance.UpstreamID]bool{}, banned: map[balance.UpstreamID]bool{},
 		open: map[balance.RequestID]*exchange.Exchange{}, timeouts: map[*exchange.Attempt]*timer.Timer{}}
 	c := &d.counters
 	c.taken = o.Counters.New("taken")
@@ -85,7 +86,6 @@
 		c.ends[i] = o.Counters.New("ended_" + name)
 	}
 	c.cancels, c.lists = o.Counters.New("cancels"), o.Counters.New("lists")
-	d.classes = o.Config.Classes
 	d.b = balance.New(o.Config, o.Seed, o.Now())
 	return d
 }
@@ -155,7 +155,6 @@
 		d.stop(a, balance.Cancelled)
 		return
 	}
-	a.Streams = true
 	d.timers.Stop(d.timeouts[a])
 	delete(d.timeouts, a)
 	spent := d.now() - a.Sent
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -62,7 +62,6 @@
 	Sent     balance.Millis
 	Until    balance.Millis // when it is no longer waited for
 	Whole    bool           // the request's last byte was written: it may have run
-	Streams  bool           // its answer is being passed on
 	Ended    bool
 	NeverRan bool // its outcome proves that it did not run
 }
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -78,7 +78,6 @@
 	buf    []byte // nil while it is empty
 	from   int    // and to: what buf holds
 	to     int
-	taken  int64 // bytes that the reader has taken
 	state  State
 	waits  bool // for a buffer
 	told   bool // that there is one, and has not come for it
@@ -113,9 +112,6 @@
 // State is how far the flow is. Of one that has ended there may still be something to take.
 func (f *Flow) State() State { return f.state }
 
-// Taken is how many bytes the reader has taken.
-func (f *Flow) Taken() int64 { return f.taken }
-
 // Room is how many bytes may be written. If there are none the writer is told when that changes.
 func (f *Flow) Room() int {
 	switch {
@@ -200,7 +196,6 @@
 
 // Take notes that the reader has taken so many bytes, and tells the writer that there is room.
 func (f *Flow) Take(n int) {
-	f.taken += int64(n)
 	if len(f.first) > 0 {
 		if f.first = f.first[n:]; len(f.first) > 0 {
 			return
@@ -217,9 +212,6 @@
 	}
 }
 
-// Done reports whether all was taken.
-func (f *Flow) Done() bool { return f.state == Ended && len(f.Peek()) == 0 }
-
 func (f *Flow) release() {
 	f.from, f.to = 0, 0
 	if b := f.buf; b != nil {
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -67,7 +67,7 @@
 		}
 		for _, w := range ways { // each is drained, and each that waits for a buffer gets one in the end
 			w.f.End()
-			for !w.f.Done() {
+			for len(w.f.Peek()) > 0 {
 				got := w.f.Peek()
 				w.out = append(w.out, got...)
 				w.f.Take(len(got))
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -24,6 +25,14 @@
 
 func (e *Error) Error() string { return e.Text }
 
+// StatusOf is the status that answers a request which has a fault.
+func StatusOf(err error) int {
+	if e := (*Error)(nil); errors.As(err, &e) {
+		return e.Status
+	}
+	return 400
+}
+
 func bad(format string, args ...any) error { return &Error{400, fmt.Sprintf(format, args...)} }
 
 type state uint8
@@ -65,7 +74,6 @@
 	left  int64 // of the body or the chunk
 	body  []byte
 	sink  func([]byte) error // takes the body in place of body
-	pass  bool               // a body over MaxBody may be diverted
 	long  bool               // there is such a body
 	away  func([]byte)       // takes the rest of it
 	total int64              // of the body so far
@@ -76,7 +84,7 @@
 	if cap(d.line) > 1024 {
 		d.line = nil
 	}
-	*d = decoder{line: d.line[:0], sink: d.sink, pass: d.pass, crlf: d.crlf, frame: frame{length: -1}}
+	*d = decoder{line: d.line[:0], sink: d.sink, crlf: d.crlf, frame: frame{length: -1}}
 }
 
 // begun reports whether a part of a message has come.
@@ -137,7 +145,7 @@
 		return d.sink(p)
 	}
 	d.total += int64(len(p))
-	if d.total > MaxBody && !d.pass || d.total > MaxLong {
+	if d.total > MaxLong {
 		return &Error{413, "body too large"}
 	}
 	d.long = d.long || d.total > MaxBody
@@ -193,7 +201,7 @@
 		d.state = next
 		d.left = d.frame.length
 		if d.state == inBody && d.sink == nil && d.left > MaxBody {
-			if !d.pass || d.left > MaxLong {
+			if d.left > MaxLong {
 				return &Error{413, "body too large"}
 			}
 			d.long = true
@@ -204,7 +212,7 @@
 	case inChunkSize:
 		d.left, err = chunkSize(line)
 		d.state = inChunk
-		if err == nil && d.sink == nil && (d.total+d.left > MaxLong || !d.pass && d.total+d.left > MaxBody) {
+		if err == nil && d.sink == nil && d.total+d.left > MaxLong {
 			err = &Error{413, "body too large"}
 		}
 		if d.left == 0 {
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -36,7 +36,7 @@
 // NewRequestDecoder returns a decoder ready for its first request.
 func NewRequestDecoder() *RequestDecoder {
 	d := &RequestDecoder{}
-	d.crlf, d.pass = true, true
+	d.crlf = true
 	d.Reset()
 	return d
 }
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -31,7 +31,7 @@
 // it comes, without limit.
 func NewResponseDecoder(sink func([]byte) error) *ResponseDecoder {
 	d := &ResponseDecoder{}
-	d.sink, d.pass = sink, sink == nil
+	d.sink = sink
 	d.Reset()
 	return d
 }
@@ -164,15 +164,6 @@
 	return append(p, "\r\n"...)
 }
 
-// AppendChunk encodes a part of a body, which is not empty; LastChunk ends one.
-func AppendChunk(p, part []byte) []byte {
-	p = append(strconv.AppendInt(p, int64(len(part)), 16), "\r\n"...)
-	return append(append(p, part...), "\r\n"...)
-}
-
-// LastChunk ends a body in chunks.
-const LastChunk = "0\r\n\r\n"
-
 // AppendResponse encodes an answer. RetryAfter, in milliseconds, is left out where it is 0.
 func AppendResponse(p []byte, status int, retryAfter float64, end bool, body []byte) []byte {
 	p = append(strconv.AppendInt(append(p, "HTTP/1.1 "...), int64(status), 10), ' ')
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -130,12 +130,13 @@
 			return name
 		}
 	}
-	var had, has map[string]json.RawMessage
-	json.Unmarshal(than.fields["limits"], &had) // both were read as limits before
-	json.Unmarshal(c.fields["limits"], &has)
-	for _, name := range [...]string{"cores", "memory_mb", "sockets"} {
-		if had[name] != nil && has[name] == nil {
-			return "limits." + name
+	if had, err := settings.ParseJSON(than.fields["limits"]); err == nil { // else there were none
+		has, err := settings.ParseJSON(c.fields["limits"])
+		if err != nil {
+			return "limits"
+		}
+		if path := has.Lacks(had); path != "" {
+			return "limits." + path
 		}
 	}
 	if path := c.values.Lacks(than.values); path != "" {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,13 +61,8 @@
 func New(c *Config, l *loop.Loop, log *logrus.Entry) *Balancer {
 	b := &Balancer{config: c, read: c, settings: c.Settings, log: log, loop: l, started: l.Now(), book: discovery.NewBook(c.Settings.ZoneNames)}
 	l.WaitAtMost(blindMost)
-	door := 0
-	if c.Admin.IsValid() {
-		door = doorSockets
-	}
-	room := divide(c.Limits.Sockets, door)
-	b.table = loop.NewTable(room.table)
-	b.flows = flow.NewPool(buffers(c.Limits.MemoryMB))
+	room := c.divide(1)
+	b.table, b.flows = loop.NewTable(room.table), flow.NewPool(room.buffers)
 	b.list = discovery.NewFollower(discovery.Options{Loop: l, Address: c.Discovery, Revision: c.Known.Revision,
 		Counters: &b.Counters, News: b.news, Note: func(s string) { log.Warn(s) }})
 	// The callers' side comes first in the table: their silent connections are shed before idle ones to upstreams.
@@ -80,8 +75,8 @@
 		Upstreams: b.pool, Counters: &b.Counters, Note: func(s string) { log.Info(s) }})
 	b.pool.Listen(b.driver)
 	b.server.Serve(b.driver)
-	if door > 0 {
-		b.door = control.New(control.Options{Loop: l, Room: room.door - 1, Counters: &b.Counters, Orders: orders{b}})
+	if c.Admin.IsValid() {
+		b.door = control.New(control.Options{Loop: l, Room: room.door - 1, Counters: &b.Counters, Orders: b})
 	}
 	b.reloads, b.badReloads = b.Counters.New("reloads"), b.Counters.New("reloads_failed")
 	b.Counters.Reading("flow_buffers", func() uint64 { return uint64(b.flows.Used()) })
@@ -95,15 +90,16 @@
 	b.driver.List(b.book.Enter(u, b.pool), u.Complete)
 }
 
-// buffers is how many there are for long bodies.
-func buffers(memoryMB float64) int { return int(memoryMB * flowShare * (1 << 20) / flow.BufferSize) }
+// room is how descriptors are divided, and how many buffers there are for long bodies.
+type room struct{ table, spare, door, buffers int }
 
-// room is how descriptors are divided.
-type room struct{ table, spare, door int }
-
-// divide shares out so many descriptors, of which the door wants some.
-func divide(sockets, door int) room {
-	r := room{spare: min(spareSockets, sockets/16), door: min(door, sockets/8)}
+// divide shares out a share of what the balancer may use.
+func (c *Config) divide(share float64) room {
+	sockets := int(share * float64(c.Limits.Sockets))
+	r := room{spare: min(spareSockets, sockets/16), buffers: int(share * c.Limits.MemoryMB * flowShare * (1 << 20) / flow.BufferSize)}
+	if c.Admin.IsValid() {
+		r.door = min(doorSockets, sockets/8)
+	}
 	r.table = max(tableLeast, sockets-ownSockets-r.spare-r.door)
 	return r
 }
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -2,25 +2,19 @@
 
 import "salttrack/internal/handover"
 
-// orders carries out what comes through the operators' door.
-type orders struct{ b *Balancer }
+// What operators order, at the door or in a script.
 
 // Ready reports whether new requests are to come to this process.
-func (o orders) Ready() bool {
-	if o.b.shared != nil {
-		o.b.shared.look()
+func (b *Balancer) Ready() bool {
+	if b.shared != nil {
+		b.shared.look()
 	}
-	return o.b.listening && o.b.ready() && !o.b.ending
+	return b.listening && b.ready() && !b.ending
 }
 
-// Offline takes an upstream out until Online, whatever the list says. It reports whether the id was ever listed.
-func (o orders) Offline(name string) bool { return o.order(name, true) }
-
-// Online ends that.
-func (o orders) Online(name string) bool { return o.order(name, false) }
-
-func (o orders) order(name string, out bool) bool {
-	b := o.b
+// Order takes an upstream out until it is called back, whatever the list says, or calls it back. It reports whether the id
+// was ever listed.
+func (b *Balancer) Order(name string, out bool) bool {
 	if _, listed := b.book.Number(name); !listed {
 		return false
 	}
@@ -31,9 +25,6 @@
 	return true
 }
 
-// Order takes an upstream out or in, as the operators' door does.
-func (b *Balancer) Order(name string, out bool) bool { return orders{b}.order(name, out) }
-
 // carryOut takes an upstream out or in.
 func (b *Balancer) carryOut(name string, out bool) {
 	log := b.log.WithField("upstream", name)
--- a/internal/node/shared.go
+++ b/internal/node/shared.go
@@ -13,6 +13,7 @@
 	b      *Balancer
 	store  handover.Store
 	record handover.Record
+	told   bool // the record is published as it is
 	halved bool // another lives, so each has half of what there is
 	divide func(share float64)
 	next   *timer.Timer
@@ -54,6 +55,7 @@
 // changed carries out an order that another process was given. One that let an upstream back not long ago says that it
 // is cold, also to a process that did not know of its being out.
 func (s *shared) changed(name string, o handover.Order) {
+	s.told = false
 	if o.Out {
 		s.b.carryOut(name, true)
 	} else if s.b.loop.Now()-o.At < s.b.settings.ColdFor {
@@ -66,14 +68,19 @@
 func (s *shared) order(name string, o handover.Order) {
 	handover.Forget(s.record.Orders, o.At-2*s.b.settings.ColdFor)
 	s.record.Orders[name] = o
+	s.told = false
 	s.publish()
 }
 
 // publish tells of this process.
 func (s *shared) publish() {
-	s.record.Ready = s.b.listening && s.b.ready() && !s.b.ending
-	s.record.Ending = s.b.ending
+	ready := s.b.listening && s.b.ready() && !s.b.ending
+	if s.told && ready == s.record.Ready && s.b.ending == s.record.Ending {
+		return
+	}
+	s.told, s.record.Ready, s.record.Ending = true, ready, s.b.ending
 	if err := s.store.Publish(s.record); err != nil {
+		s.told = false
 		s.b.log.WithError(err).Warn("the other process can't be told")
 	}
 }
@@ -94,22 +101,18 @@
 		return
 	}
 	s.halved = half
-	share, limits := 1.0, s.b.config.Limits
+	share := 1.0
 	if half {
 		share = 0.5
 	}
-	door := 0
-	if s.b.door != nil {
-		door = doorSockets
-	}
-	r := divide(int(share*float64(limits.Sockets)), door)
+	r := s.b.config.divide(share)
 	s.b.log.WithField("share", share).Info("descriptors and memory are divided anew")
 	s.b.server.Spare = r.spare
 	if s.b.door != nil {
 		s.b.door.Room = r.door - 1
 	}
 	s.b.table.SetLimit(r.table)
-	s.b.flows.SetLimit(buffers(share * limits.MemoryMB))
+	s.b.flows.SetLimit(r.buffers)
 	s.divide(share)
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -256,7 +256,7 @@
 	dec        *http1.ResponseDecoder
 	attempt    *exchange.Attempt
 	unsent     []byte         // of the request
-	body       *flow.Flow     // of a request whose body is still coming, nil once all of it is sent or unsent
+	body       *http1.Body    // of a request whose body is still coming, nil once all of it is sent
 	flow       *flow.Flow     // of a long answer
 	moved      balance.Millis // when a part of either went on last, or could again
 	timer      *timer.Timer   // connect time-out, or the end of idleness
@@ -276,8 +276,9 @@
 		remaining = req.Remaining * 1000
 	}
 	c.unsent = http1.AppendRequest(nil, req, c.target.host, remaining)
-	if c.body = req.Flow; c.body != nil {
-		c.body.Reader(c.send)
+	if req.Flow != nil {
+		c.body = http1.NewBody(req.Flow, req.Flow.Length < 0)
+		req.Flow.Reader(c.send)
 	}
 	if !c.connecting {
 		c.sendFirst()
@@ -299,10 +300,10 @@
 	if c.connecting {
 		return
 	}
-	for len(c.unsent) > 0 || c.piece() {
-		n, err := c.pool.loop.Write(c.fd, c.unsent)
-		if c.unsent = c.unsent[n:]; n > 0 {
-			c.moved = c.pool.loop.Now()
+	for p := c.next(); len(p) > 0; p = c.next() {
+		n, err := c.pool.loop.Write(c.fd, p)
+		if n > 0 {
+			c.wrote(n)
 		}
 		if err != nil {
 			c.receive()
@@ -311,42 +312,38 @@
 			}
 			return
 		}
-		if len(c.unsent) > 0 {
+		if n < len(p) {
 			c.pool.loop.Watch(c.fd, loop.In|loop.Out|loop.Hup)
 			return
 		}
 	}
+	if c.body != nil && c.body.Done() {
+		c.body = nil
+	}
 	if c.unsent = nil; c.body == nil {
 		c.attempt.Whole = true
 	}
 	c.pool.loop.Watch(c.fd, loop.In|loop.Hup)
 }
 
-// piece takes the next part of a body that is still coming, and reports whether there is one. From the first on the request
-// can't be sent again.
-func (c *conn) piece() bool {
-	f := c.body
-	if f == nil {
-		return false
+// next returns what of the request is to be written now.
+func (c *conn) next() []byte {
+	if len(c.unsent) > 0 || c.body == nil {
+		return c.unsent
 	}
-	p := f.Peek()
-	p = p[:min(len(p), flow.BufferSize)]
-	switch {
-	case len(p) > 0 && f.Length < 0:
-		c.unsent = http1.AppendChunk(nil, p)
-	case len(p) > 0:
-		c.unsent = append([]byte(nil), p...)
-	case f.State() != flow.Ended:
-		return false
-	default:
-		if c.body = nil; f.Length < 0 {
-			c.unsent = append(c.unsent, http1.LastChunk...)
-		}
-		return f.Length < 0
+	return c.body.Next()
+}
+
+// wrote notes that so many bytes of that are written. From the first of a body that is still coming on, the request can't be
+// sent again.
+func (c *conn) wrote(n int) {
+	c.moved = c.pool.loop.Now()
+	if len(c.unsent) > 0 {
+		c.unsent = c.unsent[n:]
+		return
 	}
 	c.attempt.Exchange.Consumed = true
-	f.Take(len(p))
-	return true
+	c.body.Wrote(n)
 }
 
 // broken is the outcome of an attempt whose connection broke.
@@ -478,7 +475,7 @@
 			c.moved = now
 		}
 		c.flow.Flush()
-	case len(c.unsent) > 0:
+	case len(c.next()) > 0:
 	case c.body != nil: // the caller has not brought more
 		c.moved = now
 	default: // all of it is sent: the attempt has its time-out
@@ -572,12 +569,12 @@
 
 // detach parts the connection from its attempt.
 func (c *conn) detach() {
+	if f := c.attempt.Exchange.Message.(*http1.Request).Flow; f != nil {
+		f.Reader(nil)
+	}
 	delete(c.pool.out, c.attempt)
 	c.attempt, c.unsent = nil, nil
-	if c.body != nil {
-		c.body.Reader(nil)
-		c.body = nil
-	}
+	c.body = nil
 	c.pool.loop.Timers.Stop(c.timer)
 	c.timer = nil
 	if f := c.flow; f != nil {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -481,7 +481,7 @@
 		stuck := func() (still bool) {
 			r.Do(func() {
 				for _, c := range r.p.busy() {
-					still = tt.answer != "" || len(c.unsent) > 0 || c.body != nil && len(f.Peek()) == 0
+					still = tt.answer != "" || c.body != nil && len(c.unsent) == 0 && (len(f.Peek()) == 0 || f.Length > 0 && len(f.Peek()) < tt.body)
 				}
 			})
 			return still
