The module keeps bans and revivals once; a pick no longer looks through all upstreams

Cause: each pick went through the whole list for upstreams that were let back; a ban stood in a map and in each upstream; New and applySettings each made the counts; a revival outlived its warmth and would have been acted on at any later restart. Change: revivals are a short list that holds its own state, bans the map alone, New begins by applySettings.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -465,9 +465,10 @@
 // tried at once, by one request: cold, it looks fuller than any other that is idle, and got none until it
 // was warm.
 func (b *Balancer) pick(r *request) *upstream {
-	for _, u := range b.list {
-		if u.back && u.usable(b) && b.mayRepeat(r, u) && b.coldAllows(u) {
-			u.back = false
+	for i := range b.revived {
+		v := &b.revived[i]
+		if u := b.ups[v.id]; !v.tried && u != nil && u.usable(b) && b.mayRepeat(r, u) {
+			v.tried = true
 			return u
 		}
 	}
@@ -647,7 +648,10 @@
 var failsAs = [...]float64{Errored: 1, TimedOut: 1, ConnectFailed: 1, Reset: 0.625}
 
 // possible reports whether anything may be sent to the upstream at all.
-func (u *upstream) possible(b *Balancer) bool { return u.State == Ready && !u.banned }
+func (u *upstream) possible(b *Balancer) bool {
+	_, out := b.banned[u.id]
+	return u.State == Ready && !out
+}
 
 // usable reports whether the upstream is to be used on the ordinary path.
 func (u *upstream) usable(b *Balancer) bool {
@@ -746,9 +750,6 @@
 		return
 	}
 	b.banned[id] = b.now
-	if u := b.ups[id]; u != nil {
-		u.banned = true
-	}
 	b.weigh()
 	b.choosePart()
 }
@@ -761,14 +762,13 @@
 		return
 	}
 	delete(b.banned, id)
-	u := b.ups[id]
-	if u == nil || u.Started <= since {
-		b.startedAfter(id, b.now)
+	at, u := b.now, b.ups[id]
+	if u != nil && u.Started > since {
+		at = u.Started
 	}
+	b.revive(id, at)
 	if u != nil {
-		u.banned = false
 		b.renew(u)
-		u.back, u.tokens = true, 1
 	}
 	b.weigh()
 	b.choosePart()
--- a/balance/state.go
+++ b/balance/state.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -55,7 +54,7 @@
 	ups  map[UpstreamID]*upstream
 
 	banned  map[UpstreamID]Millis // since when operators have taken it out
-	revived map[UpstreamID]Millis // the earliest start that is believed, of those that they let back
+	revived []revival             // those that they let back of late
 
 	list []*upstream // in order of first mention
 	cand []*upstream // scratch of pick
@@ -90,20 +89,10 @@
 
 // New returns an instance that has just started.
 func New(cfg Config, seed uint64, now Millis) *Balancer {
-	b := &Balancer{cfg: &cfg, now: now, rng: rand.New(rand.NewPCG(seed, 0x5a17)),
+	b := &Balancer{cfg: &Config{}, now: now, rng: rand.New(rand.NewPCG(seed, 0x5a17)),
 		reqs: map[RequestID]*request{}, ups: map[UpstreamID]*upstream{}, banned: map[UpstreamID]Millis{},
-		revived: map[UpstreamID]Millis{}, sum: make([]count, len(cfg.Classes)),
-		usual: make([]mean, len(cfg.Classes)), slotStart: now, slotEnd: now + bucketFor,
-		lastTick: now, lastOK: now, askDelay: 1000}
-	for i := range b.window {
-		b.window[i] = make([]count, len(cfg.Classes))
-	}
-	for g := range b.zones {
-		b.zones[g].byClass = make([]int, len(cfg.Classes))
-	}
-	for _, q := range cfg.TenantQuota {
-		b.tenants = append(b.tenants, q/float64(max(1, cfg.Replicas)))
-	}
+		slotStart: now, slotEnd: now + bucketFor, lastTick: now, lastOK: now, askDelay: 1000}
+	b.applySettings(&cfg)
 	b.begin()
 	return b
 }
@@ -166,8 +155,6 @@
 	backoff  Millis
 	trial    bool // back from an ejection, not yet proven
 	hung     bool
-	banned   bool // as in Balancer.banned
-	back     bool // let back, and not sent to since
 	answered Millis
 	held     float64 // requests in hand, as last reported
 	heldAt   Millis  // when that was; long ago if never
@@ -320,8 +307,7 @@
 			b.renew(u)
 		}
 		u.Entry, u.zone = e, e.Zone
-		u.Started = max(e.Started, b.revived[e.ID])
-		_, u.banned = b.banned[e.ID]
+		u.Started = max(e.Started, b.revivedAt(e.ID))
 	}
 	b.list = slices.DeleteFunc(b.list, func(u *upstream) bool {
 		if u.State != Gone || u.inflight > 0 {
@@ -336,20 +322,32 @@
 // renew forgets what is known of an upstream but for its place in the list and what is in flight there.
 func (b *Balancer) renew(u *upstream) {
 	e := u.Entry
-	e.Started = max(e.Started, b.revived[u.id])
-	_, back := b.revived[u.id]
-	*u = upstream{Entry: e, zone: u.zone, id: u.id, place: u.place, inflight: u.inflight, banned: u.banned,
-		back: back, heldAt: math.Inf(-1), tokens: b.rng.Float64()}
-	if back {
-		u.tokens = 1
-	}
+	e.Started = max(e.Started, b.revivedAt(u.id))
+	*u = upstream{Entry: e, zone: u.zone, id: u.id, place: u.place, inflight: u.inflight,
+		heldAt: math.Inf(-1), tokens: b.rng.Float64()}
 }
 
-// startedAfter notes that an upstream has started at a time at the earliest. Older notes are dropped: what began
-// that long ago is warm.
-func (b *Balancer) startedAfter(id UpstreamID, at Millis) {
-	maps.DeleteFunc(b.revived, func(_ UpstreamID, at Millis) bool { return b.now-at >= b.cfg.ColdFor })
-	b.revived[id] = at
+// revival is an upstream that operators have let back. It is forgotten once it is warm.
+type revival struct {
+	id    UpstreamID
+	at    Millis // the earliest start that is believed
+	tried bool   // it was sent to since
+}
+
+// revive notes one, in place of what was noted of it before.
+func (b *Balancer) revive(id UpstreamID, at Millis) {
+	b.revived = slices.DeleteFunc(b.revived, func(v revival) bool { return v.id == id || b.now-v.at >= b.cfg.ColdFor })
+	b.revived = append(b.revived, revival{id: id, at: at})
+}
+
+// revivedAt is the earliest start that is believed of an upstream, 0 for any.
+func (b *Balancer) revivedAt(id UpstreamID) Millis {
+	for _, v := range b.revived {
+		if v.id == id {
+			return v.at
+		}
+	}
+	return 0
 }
 
 // applySettings goes on by other settings. What was counted of a class that is dropped goes, as does what was known
--- a/internal/lab/planted/planted_test.go
+++ b/internal/lab/planted/planted_test.go
@@ -118,8 +118,9 @@
 		{"internal/downstream/conn.go", `		c.timeout(requestMost, c.tooSlow)
 	default:`, `	default:`}}},
 	{"a ban that the next list ends", "taken-out", true, []edit{
-		{"balance/state.go", `		_, u.banned = b.banned[e.ID]
-`, `		u.banned = false
+		{"balance/state.go", `		u.Started = max(e.Started, b.revivedAt(e.ID))
+`, `		u.Started = max(e.Started, b.revivedAt(e.ID))
+		delete(b.banned, e.ID)
 `},
 		{"internal/driver/driver.go", `d.ready[a.Upstream] && !d.banned[a.Upstream]`, `d.ready[a.Upstream]`}}},
 	{"classes numbered by their place in the new file", "twice refusal", true, []edit{
