Tests of the program share one way to send, to call the door and to count; a file cut at every byte

Change: an inherited listener is tested in the upgrades, callers are http clients, leave to send (100) is checked at its wire before a long body. A reload is tried with the file cut at every byte, where it was every seventh. No check is gone.

--- a/cmd/salttrack/long_test.go
+++ b/cmd/salttrack/long_test.go
@@ -83,22 +83,17 @@
 	before := memory(t, p.cmd.Process.Pid, "VmRSS")
 	want, wantSum := fmt.Sprint(longSize, " ", sum(longText())), sum(longText())
 	var all, begun sync.WaitGroup
+	begun.Add(6)
 	for i := range 6 {
-		begun.Add(1)
 		all.Go(func() {
-			once := sync.OnceFunc(begun.Done)
-			defer once()
-			q, _ := http.NewRequest("GET", "http://"+p.addr+"/read/"+[]string{"sized", "chunked"}[i%2], nil)
-			q.Header = http.Header{"X-Txn": {fmt.Sprint("down", i)}, "X-Lane": {"read"}, "X-Remaining": {"5"}}
-			a, err := new(http.Client).Do(q)
+			a, err := p.send("read", []string{"sized", "chunked"}[i%2], fmt.Sprint("down", i), "5", nil)
+			begun.Done()
 			if err != nil || a.StatusCode != 200 || (a.ContentLength == longSize) != (i%2 == 0) {
 				t.Errorf("download %d: %v %v", i, a, err)
 				return
 			}
-			once()
 			pause()
-			text, err := io.ReadAll(a.Body)
-			if err != nil || sum(text) != wantSum {
+			if text, err := io.ReadAll(a.Body); err != nil || sum(text) != wantSum {
 				t.Errorf("download %d: %d bytes, %v", i, len(text), err)
 			}
 		})
@@ -109,14 +104,11 @@
 			if i%2 == 0 {
 				body = io.MultiReader(body) // of no known length
 			}
-			q, _ := http.NewRequest("POST", "http://"+p.addr+"/pay/x", body)
-			q.Header = http.Header{"X-Txn": {fmt.Sprint("up", i)}, "X-Lane": {"pay"}, "X-Remaining": {"60"}, "Expect": {"100-continue"}}
-			a, err := new(http.Client).Do(q)
+			a, err := p.send("pay", "x", fmt.Sprint("up", i), "60", body)
 			if err != nil {
 				t.Errorf("upload %d: %v", i, err)
 				return
 			}
-			defer a.Body.Close()
 			if text, err := io.ReadAll(a.Body); err != nil || a.StatusCode != 200 || string(text) != want {
 				t.Errorf("upload %d: %d %q %v", i, a.StatusCode, text, err)
 			}
@@ -154,9 +146,7 @@
 	})
 	p := start(t, w.config(nil))
 	for _, path := range []string{"sized", "chunked"} {
-		q, _ := http.NewRequest("GET", "http://"+p.addr+"/read/"+path, nil)
-		q.Header = http.Header{"X-Txn": {path}, "X-Lane": {"read"}, "X-Remaining": {"5"}}
-		a, err := http.DefaultClient.Do(q)
+		a, err := p.send("read", path, path, "5", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -165,28 +155,29 @@
 		}
 		a.Body.Close()
 	}
-	for i, framing := range []string{fmt.Sprintf("Content-Length: %d\r\n\r\n", longSize), "Transfer-Encoding: chunked\r\n\r\n100000\r\n"} {
+	// So are requests whose caller waits for leave, sends a part and goes, and one whose chunks turn out malformed: 400.
+	for i, tt := range [][2]string{{fmt.Sprint("Content-Length: ", longSize), ""}, {"Transfer-Encoding: chunked", "100000\r\n"},
+		{"Transfer-Encoding: chunked", "80000\r\n"}} {
 		c, err := net.Dial("tcp", p.addr)
 		if err != nil {
 			t.Fatal(err)
 		}
-		seen := w.ups[0].seen.Load()
-		fmt.Fprintf(c, "POST /pay/x HTTP/1.1\r\nX-Txn: cut%d\r\nX-Lane: pay\r\nX-Remaining: 5\r\n%s", i, framing)
-		c.Write(longText()[:1<<19])
+		in, seen := bufio.NewReader(c), w.ups[0].seen.Load()
+		status := func(want int) {
+			if a, err := http.ReadResponse(in, nil); err != nil || a.StatusCode != want {
+				t.Errorf("%s: %v %v, want %d", tt, a, err, want)
+			}
+		}
+		fmt.Fprintf(c, "POST /pay/x HTTP/1.1\r\nX-Txn: cut%d\r\nX-Lane: pay\r\nX-Remaining: 5\r\nExpect: 100-continue\r\n%s\r\n\r\n", i, tt[0])
+		status(100)
+		fmt.Fprintf(c, "%s%s", tt[1], longText()[:1<<19])
 		p.until("the request at the upstream", func() bool { return w.ups[0].seen.Load() > seen })
+		if i == 2 {
+			fmt.Fprint(c, "\r\nzz\r\n")
+			status(400)
+		}
 		c.Close()
 	}
-	// One whose chunks turn out malformed in the middle is answered 400, and is cut off as well.
-	c, err := net.Dial("tcp", p.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	fmt.Fprintf(c, "POST /pay/x HTTP/1.1\r\nX-Txn: bad\r\nX-Lane: pay\r\nX-Remaining: 5\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n%s\r\nzz\r\n",
-		longText()[:0x20000])
-	if a, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || a.StatusCode != 400 {
-		t.Errorf("a malformed chunk: %v %v", a, err)
-	}
 	p.end()
 	if n := whole.Load(); n != 0 {
 		t.Errorf("%d requests that were cut off reached the upstream as whole", n)
--- a/cmd/salttrack/main_test.go
+++ b/cmd/salttrack/main_test.go
@@ -212,19 +212,28 @@
 	}
 }
 
+// send sends one request of a class, with POST if it has a body, and returns its answer.
+func (p *program) send(class, path, txn, remaining string, body io.Reader) (*http.Response, error) {
+	method := "GET"
+	if body != nil {
+		method = "POST"
+	}
+	q, err := http.NewRequest(method, "http://"+p.addr+"/"+class+"/"+path, body)
+	if err != nil {
+		return nil, err
+	}
+	q.Header = http.Header{"X-Txn": {txn}, "X-Lane": {class}, "X-Remaining": {remaining}}
+	return http.DefaultClient.Do(q)
+}
+
 // ask sends one request and returns the status and body of its answer.
 func (p *program) ask(class, txn string) (int, string) {
 	p.t.Helper()
-	method, body := "GET", io.Reader(nil)
+	body := io.Reader(nil)
 	if class == "pay" {
-		method, body = "POST", strings.NewReader("payload")
-	}
-	q, err := http.NewRequest(method, "http://"+p.addr+"/"+class+"/x", body)
-	if err != nil {
-		p.t.Fatal(err)
+		body = strings.NewReader("payload")
 	}
-	q.Header = http.Header{"X-Txn": {txn}, "X-Lane": {class}, "X-Remaining": {"4.0"}}
-	a, err := http.DefaultClient.Do(q)
+	a, err := p.send(class, "x", txn, "4.0", body)
 	if err != nil {
 		p.t.Errorf("%s: %v", txn, err)
 		return 0, ""
@@ -234,6 +243,18 @@
 	return a.StatusCode, string(text)
 }
 
+// askMany sends requests that have to be served, and returns how many of them went to the first upstream.
+func (p *program) askMany(w *world, name string) int64 {
+	p.t.Helper()
+	before := w.ups[0].seen.Load()
+	for n := range 20 {
+		if status, _ := p.ask("read", fmt.Sprint(name, n)); status != 200 {
+			p.t.Errorf("%s: status %d", name, status)
+		}
+	}
+	return w.ups[0].seen.Load() - before
+}
+
 // counters reads the last counters that the program has printed.
 func (p *program) counters() map[string]int {
 	all := regexp.MustCompile(`counters="([^"]*)"`).FindAllStringSubmatch(p.log.String(), -1)
@@ -311,13 +332,7 @@
 			time.Sleep(5 * time.Millisecond)
 			return p.counters()["lists"] >= 3+i // the known one, the first, and the changes
 		})
-		before := w.ups[0].seen.Load()
-		for n := range 20 {
-			if status, _ := p.ask("read", fmt.Sprint(phase, n)); status != 200 {
-				t.Errorf("status %d", status)
-			}
-		}
-		if n := w.ups[0].seen.Load() - before; n != 0 {
+		if n := p.askMany(w, phase); n != 0 {
 			t.Errorf("%s: %d requests went there", phase, n)
 		}
 	}
--- a/cmd/salttrack/ops_test.go
+++ b/cmd/salttrack/ops_test.go
@@ -4,12 +4,13 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,16 +24,14 @@
 	return func(c map[string]any) { c["admin"] = at }, at
 }
 
-// order makes a call at a door and returns the status of its answer.
-func order(t *testing.T, door, method, path string) int {
-	t.Helper()
-	q, err := http.NewRequest(method, "http://"+door+path, nil)
-	if err != nil {
-		t.Fatal(err)
+// call makes a call at a door, with POST unless it asks for ready, and returns the status of its answer, 0 for none.
+func call(door, path string) int {
+	q, _ := http.NewRequest("POST", "http://"+door+"/control/"+path, nil)
+	if path == "ready" {
+		q.Method = "GET"
 	}
 	a, err := http.DefaultClient.Do(q)
 	if err != nil {
-		t.Errorf("%s: %v", path, err)
 		return 0
 	}
 	a.Body.Close()
@@ -59,77 +58,24 @@
 			fmt.Fprint(c, "GET /half")
 		}
 	}
-	ask := func(name string) (to int64) {
-		before := w.ups[0].seen.Load()
-		for i := range 20 {
-			if status, _ := p.ask("read", fmt.Sprint(name, i)); status != 200 {
-				t.Errorf("%s: status %d", name, status)
-			}
-		}
-		return w.ups[0].seen.Load() - before
-	}
-	if ask("before") == 0 {
+	if p.askMany(w, "before") == 0 {
 		t.Error("gets nothing before the ban")
 	}
-	for _, tt := range []struct {
-		path string
-		want int
-	}{{"/control/upstreams/s-9/offline", 404}, {"/control/upstreams/s-0/offline", 200}, {"/control/upstreams/s%2d0/offline", 200}} {
-		if status := order(t, door, "POST", tt.path); status != tt.want {
-			t.Errorf("%s: %d", tt.path, status)
+	for path, want := range map[string]int{"upstreams/s-9/offline": 404, "upstreams/s-0/offline": 200, "upstreams/s%2d0/offline": 200} {
+		if status := call(door, path); status != want {
+			t.Errorf("%s: %d", path, status)
 		}
 	}
-	if n := ask("during"); n != 0 {
+	if n := p.askMany(w, "during"); n != 0 {
 		t.Errorf("%d requests went to an upstream that was taken out", n)
 	}
-	if order(t, door, "POST", "/control/upstreams/s-0/online") != 200 || order(t, door, "GET", "/control/ready") != 200 {
+	if call(door, "upstreams/s-0/online") != 200 || call(door, "ready") != 200 {
 		t.Error("the call back, or ready, is refused")
 	}
-	p.until("it serves again", func() bool { return ask("after") > 0 })
+	p.until("it serves again", func() bool { return p.askMany(w, "after") > 0 })
 	p.end()
 }
 
-// A listening socket that the process was started with is used in place of one of its own, and stays open.
-func TestInheritedListener(t *testing.T) {
-	w := newWorld(t, echo)
-	l := listen(t).(*net.TCPListener)
-	defer l.Close()
-	f, err := l.File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
-	path := w.config(func(c map[string]any) { c["listen"] = l.Addr().String() })
-	run := func() *program {
-		return start(t, path, func(c *exec.Cmd) { c.ExtraFiles = []*os.File{f} }, "BALANCER_LISTEN_FD=3")
-	}
-	for i := range 2 {
-		p := run()
-		if status, _ := p.ask("read", fmt.Sprint(i)); status != 200 {
-			t.Errorf("status %d", status)
-		}
-		p.end()
-	}
-	c, err := net.Dial("tcp", l.Addr().String()) // it waits in the queue for the next process
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	fmt.Fprint(c, "GET /-/ready HTTP/1.1\r\n\r\n")
-	p := run()
-	if a, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
-		t.Errorf("a connection that waited got no answer: %v", err)
-	} else {
-		a.Body.Close()
-	}
-	p.end()
-	bad := exec.Command(os.Args[0])
-	bad.Env = append(os.Environ(), asProgram+"=1", "BALANCER_CONFIG="+path, "BALANCER_LISTEN_FD=0")
-	if err := bad.Run(); err == nil {
-		t.Error("starts with descriptor 0 as its listener")
-	}
-}
-
 // A file that is cut at any byte, or lacks anything that the running one has, changes neither settings nor discovery;
 // a whole one brings its classes, and each fault is told with the key.
 func TestNewSettings(t *testing.T) {
@@ -161,7 +107,7 @@
 		text, _ := json.Marshal(c)
 		return text
 	}
-	for n := 0; n < len(whole); n += 7 {
+	for n := range whole {
 		reload(whole[:n], fmt.Sprint("cut at ", n))
 	}
 	for name, do := range map[string]func(c, s map[string]any){
@@ -201,58 +147,9 @@
 	}
 }
 
-// keptCaller sends requests one after the other on a connection that it keeps, on a new one where the balancer has ended
-// that between two, and counts what gets no answer.
-func keptCaller(at, name string, stop chan struct{}) (asked, lost int) {
-	var c net.Conn
-	var r *bufio.Reader
-	defer func() {
-		if c != nil {
-			c.Close()
-		}
-	}()
-	try := func(txn string) (ok, unread bool) {
-		fresh := c == nil
-		if fresh {
-			var err error
-			if c, err = net.Dial("tcp", at); err != nil {
-				return false, false
-			}
-			r = bufio.NewReader(c)
-		}
-		c.SetDeadline(time.Now().Add(patience))
-		fmt.Fprintf(c, "GET /read/x HTTP/1.1\r\nX-Txn: %s\r\nX-Lane: read\r\nX-Remaining: 4.0\r\n\r\n", txn)
-		a, err := http.ReadResponse(r, nil)
-		if err == nil {
-			_, err = io.Copy(io.Discard, a.Body)
-		}
-		if err != nil || a.Close {
-			c.Close()
-			c = nil
-		}
-		return err == nil && (a.StatusCode == 200 || a.StatusCode == 503), err != nil && !fresh
-	}
-	for {
-		select {
-		case <-stop:
-			return asked, lost
-		default:
-		}
-		asked++
-		txn := fmt.Sprint(name, "-", asked)
-		ok, unread := try(txn)
-		if !ok && unread { // the close may have crossed the request: callers repeat it once
-			ok, _ = try(txn + "r")
-		}
-		if !ok {
-			lost++
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
-// Several new versions in a row take over under load: no request is lost, the listening socket stays, what was taken out
-// stays out, and a call at either process binds both.
+// Several new versions in a row take over under load, on a listening socket that all were started with: no request is lost,
+// the socket stays, what was taken out stays out, and a call at either process binds both. What comes when no process
+// lives waits for the next.
 func TestUpgrades(t *testing.T) {
 	w := newWorld(t, echo, echo, echo)
 	l := listen(t).(*net.TCPListener)
@@ -267,40 +164,43 @@
 		change, door := withDoor(t)
 		path := w.config(func(c map[string]any) { change(c); c["listen"] = l.Addr().String() })
 		p := start(t, path, func(c *exec.Cmd) { c.ExtraFiles = []*os.File{f} }, "BALANCER_LISTEN_FD=3", "TMPDIR="+folder)
-		p.until("yes at the door", func() bool {
-			a, err := http.Get("http://" + door + "/control/ready")
-			if err != nil {
-				return false
-			}
-			a.Body.Close()
-			return a.StatusCode == 200
-		})
+		p.until("yes at the door", func() bool { return call(door, "ready") == 200 })
 		return p, door
 	}
 	old, oldDoor := run()
-	if order(t, oldDoor, "POST", "/control/upstreams/s-0/offline") != 200 {
+	if call(oldDoor, "upstreams/s-0/offline") != 200 {
 		t.Fatal("offline is refused")
 	}
 	before := w.ups[0].seen.Load()
-	stop, done := make(chan struct{}), make(chan [2]int)
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	var asked, lost atomic.Int64
+	first := old
 	for i := range 8 {
-		go func() {
-			asked, lost := keptCaller(l.Addr().String(), fmt.Sprint("kept", i), stop)
-			done <- [2]int{asked, lost}
-		}()
+		callers.Go(func() { // its client keeps connections, and repeats once what crosses the close of one
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Millisecond):
+				}
+				if status, _ := first.ask("read", fmt.Sprint("kept", i, "-", asked.Add(1))); status != 200 && status != 503 {
+					lost.Add(1)
+				}
+			}
+		})
 	}
 	for i := range 3 {
 		next, nextDoor := run()
-		// Orders at either bind both, and the old process goes on answering.
-		if order(t, oldDoor, "POST", "/control/upstreams/s-1/offline") != 200 {
+		if call(oldDoor, "upstreams/s-1/offline") != 200 {
 			t.Error("the old process refuses an order")
 		}
 		next.until("the order at the old process", func() bool { return strings.Contains(next.log.String(), "upstream=s-1") })
-		if order(t, nextDoor, "POST", "/control/upstreams/s-1/online") != 200 {
+		if call(nextDoor, "upstreams/s-1/online") != 200 {
 			t.Error("the new process refuses an order")
 		}
 		old.until("the order at the new process", func() bool {
-			return strings.Count(old.log.String(), `"let back by an operator" name=n1 upstream=s-1`) >= 1
+			return strings.Contains(old.log.String(), `"let back by an operator" name=n1 upstream=s-1`)
 		})
 		old.end()
 		if !strings.Contains(old.log.String(), "followed=true") {
@@ -309,23 +209,35 @@
 		old, oldDoor = next, nextDoor
 	}
 	close(stop)
-	asked, lost := 0, 0
-	for range 8 {
-		n := <-done
-		asked, lost = asked+n[0], lost+n[1]
-	}
-	if lost != 0 || asked < 100 {
-		t.Errorf("%d of %d requests got no answer", lost, asked)
+	callers.Wait()
+	if lost.Load() != 0 || asked.Load() < 100 {
+		t.Errorf("%d of %d requests got no answer", lost.Load(), asked.Load())
 	}
 	if n := w.ups[0].seen.Load() - before; n != 0 {
 		t.Errorf("%d requests went to an upstream that was taken out", n)
 	}
-	if order(t, oldDoor, "POST", "/control/upstreams/s-0/online") != 200 {
+	if call(oldDoor, "upstreams/s-0/online") != 200 {
 		t.Error("the call back is refused")
 	}
-	old.until("it serves again", func() bool { old.ask("read", fmt.Sprint(time.Now().UnixNano())); return w.ups[0].seen.Load() > before })
+	old.until("it serves again", func() bool { return old.askMany(w, fmt.Sprint(time.Now().UnixNano())) > 0 })
 	old.end()
 	if old.counters()["invariants_broken"] != 0 {
 		t.Error("an invariant is broken")
 	}
+	answered := make(chan error, 1)
+	waits, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer waits.Close()
+	go func() {
+		fmt.Fprint(waits, "GET /-/ready HTTP/1.1\r\n\r\n")
+		_, err := http.ReadResponse(bufio.NewReader(waits), nil)
+		answered <- err
+	}()
+	last, _ := run()
+	if err := <-answered; err != nil {
+		t.Errorf("a connection that waited got no answer: %v", err)
+	}
+	last.end()
 }
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -70,7 +70,7 @@
 	if c, err := Load(get); err != nil || c.Admin.String() != "127.0.0.9:9" || c.ListenFD != 7 {
 		t.Errorf("%+v %v", c, err)
 	}
-	for _, fd := range []string{"2", "-1", "x", "7.0"} {
+	for _, fd := range []string{"0", "2", "-1", "x", "7.0"} {
 		env["BALANCER_LISTEN_FD"] = fd
 		if _, err := Load(get); err == nil || !strings.Contains(err.Error(), "BALANCER_LISTEN_FD") {
 			t.Errorf("descriptor %s: %v", fd, err)
