A test that a ban gives up at the driver what waits for a connection

Cause: the driver's stand-in noted what was withdrawn and nothing looked at it. Change: the test that looks.

--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"salttrack/balance"
@@ -71,6 +72,21 @@
 	return r
 }
 
+// What waits for a connection is given up once the module knows of a ban, and nothing new goes there until its end.
+func TestBan(t *testing.T) {
+	r := newRig(t, config())
+	ids := []balance.UpstreamID{1, 2, 3}
+	for _, id := range ids {
+		r.d.Ban(id)
+	}
+	if x := r.take(0, 500); len(r.out) != 0 || !slices.Equal(r.withdrawn, ids) || r.answers[x][0].Verdict != exchange.Refused {
+		t.Errorf("%d sent, %v withdrawn, answers %v", len(r.out), r.withdrawn, r.answers[x])
+	}
+	if r.d.Unban(2); r.take(0, 500) != nil && (len(r.out) != 1 || r.out[0].Upstream != 2) {
+		t.Errorf("sent to %v after the call back", r.out)
+	}
+}
+
 func (r *rig) take(class uint8, left balance.Millis) *exchange.Exchange {
 	x := exchange.New(r, nil)
 	x.Class, x.Expires, x.Deadline = class, r.at+left, r.at+left+10
