--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/bin/bash
+# Builds the stand-ins of all cases into review/bin. It needs Go and no network.
+set -euo pipefail
+cd "$(dirname "$0")"
+mkdir -p bin
+GOFLAGS=-mod=mod GOPROXY=off GOWORK=off go build -o bin/standin ./standin
--- /dev/null
+++ b/review/standin/upstream.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// upstreamEvent is one line that an upstream stand-in writes to its standard output.
+type upstreamEvent struct {
+	AtMS     float64 `json:"at"` // Unix time in ms
+	Upstream string  `json:"up"`
+	Event    string  `json:"ev"` // begin: first byte of a request; whole: its last byte; answered; broken
+	ID       string  `json:"id"`
+	Bytes    int64   `json:"bytes"`
+}
+
+func nowMS() float64 { return float64(time.Now().UnixMicro()) / 1000 }
+
+// runUpstream serves requests as the protocol page describes. It runs as a process of its own.
+// The arguments are the address, the name, and for each class "class=milliseconds of work" with an optional
+// "class=milliseconds:bytes of the answer".
+func runUpstream(args []string) {
+	work := map[string]time.Duration{}
+	size := map[string]int{}
+	for _, arg := range args[2:] {
+		class, text, _ := strings.Cut(arg, "=")
+		ms, bytes, _ := strings.Cut(text, ":")
+		n, err := strconv.Atoi(ms)
+		check(err)
+		work[class] = time.Duration(n) * time.Millisecond
+		if bytes != "" {
+			size[class], err = strconv.Atoi(bytes)
+			check(err)
+		}
+	}
+	u := &upstream{name: args[1], work: work, size: size}
+	listener, err := net.Listen("tcp", args[0])
+	check(err)
+	fmt.Println("listening")
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			continue
+		}
+		go u.serve(c)
+	}
+}
+
+type upstream struct {
+	name string
+	work map[string]time.Duration
+	size map[string]int
+	mu   sync.Mutex
+}
+
+func (u *upstream) log(event, id string, bytes int64) {
+	line, _ := json.Marshal(upstreamEvent{nowMS(), u.name, event, id, bytes})
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	os.Stdout.Write(append(line, '\n'))
+}
+
+// serve serves the requests of one connection.
+func (u *upstream) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReaderSize(c, 64<<10)
+	for {
+		c.SetReadDeadline(time.Now().Add(15 * time.Second))
+		if _, err := r.Peek(1); err != nil {
+			return
+		}
+		begun := nowMS()
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		id := request.Header.Get("X-Txn")
+		u.logAt(begun, "begin", id)
+		n, err := io.Copy(io.Discard, request.Body)
+		if err != nil {
+			u.log("broken", id, n)
+			return
+		}
+		u.log("whole", id, n)
+		class := request.Header.Get("X-Lane")
+		time.Sleep(u.work[class])
+		body := "answer to " + id
+		if more := u.size[class] - len(body); more > 0 {
+			body += strings.Repeat(".", more)
+		}
+		_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		if err != nil {
+			u.log("broken", id, n)
+			return
+		}
+		u.log("answered", id, n)
+	}
+}
+
+func (u *upstream) logAt(at float64, event, id string) {
+	line, _ := json.Marshal(upstreamEvent{at, u.name, event, id, 0})
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	os.Stdout.Write(append(line, '\n'))
+}
