--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,7 +11,7 @@
 		runUpstream(os.Args[2:])
 		return
 	}
-	cases := map[string]func(){"hung-upload": hungUpload}
+	cases := map[string]func(){"hung-upload": hungUpload, "gone-upload": goneUpload, "chaos": chaos, "send-and-go": sendAndGo}
 	if len(os.Args) == 2 && cases[os.Args[1]] != nil {
 		cases[os.Args[1]]()
 		return
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -26,8 +26,8 @@
 func nowMS() float64 { return float64(time.Now().UnixMicro()) / 1000 }
 
 // runUpstream serves requests as the protocol page describes. It runs as a process of its own.
-// The arguments are the address, the name, and for each class "class=milliseconds of work" with an optional
-// "class=milliseconds:bytes of the answer".
+// The arguments are the address, the name, and for each class "class=milliseconds of work" or
+// "class=milliseconds of work:bytes of the answer". "rate=N" limits how fast it reads a body, to N bytes per ms.
 func runUpstream(args []string) {
 	work := map[string]time.Duration{}
 	size := map[string]int{}
@@ -42,7 +42,7 @@
 			check(err)
 		}
 	}
-	u := &upstream{name: args[1], work: work, size: size}
+	u := &upstream{name: args[1], work: work, size: size, rate: int64(work["rate"] / time.Millisecond)}
 	listener, err := net.Listen("tcp", args[0])
 	check(err)
 	fmt.Println("listening")
@@ -59,6 +59,7 @@
 	name string
 	work map[string]time.Duration
 	size map[string]int
+	rate int64 // bytes per ms; 0: not limited
 	mu   sync.Mutex
 }
 
@@ -85,7 +86,7 @@
 		}
 		id := request.Header.Get("X-Txn")
 		u.logAt(begun, "begin", id)
-		n, err := io.Copy(io.Discard, request.Body)
+		n, err := u.readBody(request.Body)
 		if err != nil {
 			u.log("broken", id, n)
 			return
@@ -106,6 +107,26 @@
 	}
 }
 
+// readBody reads a body at the limited rate.
+func (u *upstream) readBody(body io.Reader) (int64, error) {
+	if u.rate == 0 {
+		return io.Copy(io.Discard, body)
+	}
+	begun := time.Now()
+	total := int64(0)
+	for {
+		n, err := io.CopyN(io.Discard, body, 8<<10)
+		total += n
+		if err == io.EOF {
+			return total, nil
+		}
+		if err != nil {
+			return total, err
+		}
+		time.Sleep(time.Until(begun.Add(time.Duration(total/u.rate) * time.Millisecond)))
+	}
+}
+
 func (u *upstream) logAt(at float64, event, id string) {
 	line, _ := json.Marshal(upstreamEvent{at, u.name, event, id, 0})
 	u.mu.Lock()
