--- a/review/standin/gone_upload.go
+++ b/review/standin/gone_upload.go
@@ -24,8 +24,8 @@
 		calls = append(calls, c)
 		wg.Go(func() { c.do(s) })
 	}
-	for round := range 3 {
-		for i := range 24 {
+	for round := range 5 {
+		for i := range 18 { // more than the balancer sends to two upstreams at once, so the next ones wait
 			send(&call{id: fmt.Sprintf("%016x", 0xb000+round*256+i), class: "oddaja", method: "POST", body: 200,
 				remaining: 1500 * time.Millisecond})
 		}
