--- a/review/standin/harness.go
+++ b/review/standin/harness.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sort"
 	"strings"
@@ -42,7 +43,7 @@
 type site struct {
 	start     float64 // Unix time in ms
 	directory string
-	processes []*exec.Cmd
+	processes []*exec.Cmd // in the order of their start
 	upstreams []*exec.Cmd
 	members   []member
 	discovery *discovery
@@ -57,9 +58,23 @@
 func newSite() *site {
 	directory, err := os.MkdirTemp("", "salttrack-review-")
 	check(err)
-	return &site{start: nowMS(), directory: directory}
+	s := &site{start: nowMS(), directory: directory}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-signals:
+			s.abort("ended by a signal")
+		case <-time.After(timeLimit):
+			s.abort("not done after %v", timeLimit)
+		}
+	}()
+	return s
 }
 
+// timeLimit is the longest time of a run.
+const timeLimit = 115 * time.Second
+
 // note adds a line to the record. The line gets the time since the start of the run.
 func (s *site) note(format string, args ...any) { s.noteAt(nowMS(), format, args...) }
 
@@ -167,8 +182,8 @@
 	log, _ := os.ReadFile(filepath.Join(s.directory, "balancer.log"))
 	s.mu.Lock()
 	for _, e := range s.events {
-		s.lines = append(s.lines, fmt.Sprintf("%9.1f ms  upstream %s: %s %s (%d body bytes)", e.AtMS-s.start,
-			e.Upstream, e.Event, e.ID, e.Bytes))
+		s.lines = append(s.lines, fmt.Sprintf("%9.1f ms  upstream %s: %s %s (%d body bytes) %s", e.AtMS-s.start,
+			e.Upstream, e.Event, e.ID, e.Bytes, e.Told))
 	}
 	sort.Strings(s.lines)
 	s.mu.Unlock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,7 +11,7 @@
 		runUpstream(os.Args[2:])
 		return
 	}
-	cases := map[string]func(){"hung-upload": hungUpload, "gone-upload": goneUpload, "chaos": chaos, "send-and-go": sendAndGo}
+	cases := map[string]func(){"send-and-go": sendAndGo, "hung-upload": hungUpload, "gone-upload": goneUpload}
 	if len(os.Args) == 2 && cases[os.Args[1]] != nil {
 		cases[os.Args[1]]()
 		return
