--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -8,4 +8,4 @@
   echo "build first: the build command of deploy/balancer.toml, then review/build.sh"
   exit 2
 fi
-exec "$ROOT/review/bin/standin" hung-upload
+exec "$ROOT/review/bin/standin" wrong-connection
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -11,7 +11,11 @@
 		runUpstream(os.Args[2:])
 		return
 	}
-	cases := map[string]func(){"send-and-go": sendAndGo, "hung-upload": hungUpload, "gone-upload": goneUpload}
+	cases := map[string]func(){
+		"send-and-go":      sendAndGo,
+		"wrong-connection": wrongConnection,
+		"hung-upload":      hungUpload,
+	}
 	if len(os.Args) == 2 && cases[os.Args[1]] != nil {
 		cases[os.Args[1]]()
 		return
