Review case 2: more slow readers, the crash falls on descriptors that are used again

Change: the upstream crashes 5.1 s after its stop, 240 slow readers in place of 160, counters in the record.

--- a/review/_standin/wrong_connection.go
+++ b/review/_standin/wrong_connection.go
@@ -16,9 +16,9 @@
 const (
 	uploads       = 320 // long requests, sent evenly over 1.25 s; their clients wait 2.05 s at most
 	uploadGap     = 3900 * time.Microsecond
-	crashAfter    = 5600 * time.Millisecond // from the stop of the upstream until its process is killed
+	crashAfter    = 5100 * time.Millisecond // from the stop of the upstream until its process is killed
 	holdUp        = 140 * time.Millisecond  // the balancer is held up around the crash
-	slowReaders   = 160
+	slowReaders   = 240
 	readBytes     = 6400 // a slow reader takes this much every 100 ms: 64 kB/s
 	shortWorkers  = 10
 	shortDuration = 9 * time.Second
@@ -50,7 +50,10 @@
 	if troubled() {
 		s.crashInHoldUp()
 	}
-	s.judgeUsual(s.sendUsual())
+	all := s.sendUsual()
+	s.balancer.Process.Signal(syscall.SIGUSR1) // the record shows the counters
+	time.Sleep(200 * time.Millisecond)
+	s.judgeUsual(all)
 }
 
 // crashInHoldUp kills the stopped upstream while the balancer is held up.
