Review: a balancer that has ended is noticed, and upstreams record what they can't read

Cause: signal 0 succeeds for a process that has ended and was not waited for, so the check could not fail; that stray bytes reach upstreams was inferred. Change: the state from /proc; the event unreadable in the record.

--- a/review/_standin/harness.go
+++ b/review/_standin/harness.go
@@ -210,7 +210,16 @@
 	return found
 }
 
-func (s *site) alive(p *exec.Cmd) bool { return p.Process.Signal(syscall.Signal(0)) == nil }
+// alive reports whether a process has not ended. One that has ended is a zombie until stop waits for it, and takes
+// signals like a running one.
+func (s *site) alive(p *exec.Cmd) bool {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Process.Pid))
+	if err != nil {
+		return false
+	}
+	_, fields, _ := strings.Cut(string(text), ") ")
+	return !strings.HasPrefix(fields, "Z") && !strings.HasPrefix(fields, "X")
+}
 
 // troubled reports whether the run has its disruption.
 func troubled() bool { return os.Getenv("TROUBLE") != "0" }
--- a/review/_standin/upstream.go
+++ b/review/_standin/upstream.go
@@ -18,10 +18,10 @@
 type upstreamEvent struct {
 	AtMS     float64 `json:"at"` // Unix time in ms
 	Upstream string  `json:"up"`
-	Event    string  `json:"ev"` // begin: first byte of a request; whole: its last byte; answered; broken
+	Event    string  `json:"ev"` // begin: first byte of a request; whole: its last byte; answered; broken; unreadable
 	ID       string  `json:"id"`
 	Bytes    int64   `json:"bytes"`
-	Told     string  `json:"told"` // X-Remaining, with the event begin
+	Told     string  `json:"told"` // X-Remaining, with the event begin; the first bytes, with unreadable
 }
 
 func nowMS() float64 { return float64(time.Now().UnixMicro()) / 1000 }
@@ -78,8 +78,11 @@
 			return
 		}
 		begun := nowMS()
+		first, _ := r.Peek(min(r.Buffered(), 48))
+		text := fmt.Sprintf("%q", first)
 		request, err := http.ReadRequest(r)
 		if err != nil {
+			u.write(upstreamEvent{begun, u.name, "unreadable", "", 0, text})
 			return
 		}
 		id := request.Header.Get("X-Txn")
