Buffers of streamed request bodies are returned when the request ends

Cause: the buffer of a streamed body goes back when the stream is read to its end or either side ends it. After the last byte had been received the client's connection was done with the stream, and an upstream connection whose attempt ended early could not end it, as a retry reads the same stream. So nobody did. It needs no client that leaves: a rejection, a reset or a timeout at that moment has the same effect.

Why this works: the stream belongs to the exchange, which knows its own end and that of its attempts, and abandons the stream after both. Every way in which a request ends passes there.

--- a/internal/downstream/dispatch.go
+++ b/internal/downstream/dispatch.go
@@ -50,6 +50,7 @@
 	x := exchange.New(c, r)
 	x.Class = class
 	x.ClientRequestID = r.ID
+	x.RequestBody = r.Stream
 	x.BodyIncomplete = c.requestStream.active()
 	if x.BodyIncomplete {
 		x.ClientDeadline = s.Loop.Now() + incompleteRequestDeadline
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -63,6 +63,9 @@
 	Message         any            // decoded request; only the protocol code of the client and upstream sides reads it
 	Attempts        []*Attempt     // indexed by Attempt.Number
 
+	// RequestBody is the streamed body of the request, nil if the body is buffered. Several attempts may read it in turn,
+	// so it belongs to the exchange, which abandons it when no attempt can read it any more.
+	RequestBody    *bodystream.Stream
 	BodyIncomplete bool // the body of the request is still being received
 	BodySent       bool // a part of a streamed body was sent and is no longer stored, so a retry is impossible
 
@@ -133,6 +136,7 @@
 		x.client.Respond(x, response)
 	}
 	x.client = nil
+	x.releaseRequestBody()
 	return true
 }
 
@@ -174,5 +178,14 @@
 	a.NeverRan = neverRan
 	x.openAttempts--
 	invariant.Check(x.openAttempts >= 0, "the number of attempts in flight is not negative")
+	x.releaseRequestBody()
 	return true
 }
+
+// releaseRequestBody abandons a streamed request body once the exchange has ended and has no attempts in flight.
+// Otherwise the buffer that holds its unread bytes would never be returned to the pool.
+func (x *Exchange) releaseRequestBody() {
+	if x.RequestBody != nil && x.Finished() {
+		x.RequestBody.Abandon()
+	}
+}
