An attempt whose body will never be complete is ended even if cancelling is off

What callers saw: nothing; the balancer kept a connection and its descriptor for up to an hour for each client that left in the middle of a long body, where limits.cancel is off.

When a request ends, what it leaves behind has to be ended by somebody. An attempt that may not be cancelled was left to its timeout, which is an hour while the body is incomplete, and the check for stalled streams takes it for one that waits for its client.

Change: the setting is about work that an upstream does. An upstream begins a request with its last byte, so an attempt without it is always ended.

TestIncompleteRequestIsCancelled failed before (attempt not cancelled) and passes now. Not shown with real processes.

--- a/balance/request.go
+++ b/balance/request.go
@@ -225,11 +225,18 @@
 
 // cancellable reports whether an attempt may be cancelled once the request is concluded.
 // A response that has started to be streamed continues.
+// An attempt whose request will never be complete is ended even if the settings do not allow to cancel:
+// its upstream has nothing to execute, and it would hold its connection until the upstream closes it.
 func (r *request) cancellable(a *attempt) bool {
-	if a.ended || !r.settings.CanCancel || r.classRules().Streaming {
+	switch {
+	case a.ended:
+		return false
+	case r.bodyIncomplete:
+		return true
+	case !r.settings.CanCancel || r.classRules().Streaming:
 		return false
 	}
-	return a.countsAsLoad || r.bodyIncomplete
+	return a.countsAsLoad
 }
 
 // reject gives up a request that has had no attempt. The accept window counts the request as not accepted.
--- a/balance/streaming_test.go
+++ b/balance/streaming_test.go
@@ -23,3 +23,20 @@
 		t.Error("the request is still in progress after its response has ended")
 	}
 }
+
+// Guards against a connection that is held for good: an attempt whose client has gone before the end of the body can't be
+// completed, so it is cancelled even if the settings do not allow to cancel what an upstream executes.
+func TestIncompleteRequestIsCancelled(t *testing.T) {
+	cfg := testConfig()
+	cfg.CanCancel = false
+	for _, incomplete := range []bool{true, false} {
+		b := New(cfg, 1, 0)
+		b.updateEndpoints(EndpointUpdate{Endpoints: testEndpoints(4), Snapshot: true})
+		b.OnRequest(0, &RequestArrived{Request: 1, ExpiresIn: 2000, BodyIncomplete: incomplete})
+		discard(b)
+		b.OnRequestConcluded(10, 1)
+		if cancelled := len(drain[CancelAttempt](b)) == 1; cancelled != incomplete {
+			t.Errorf("body incomplete %v: attempt cancelled %v", incomplete, cancelled)
+		}
+	}
+}
