A closed client connection starts no timer and writes no response

Cause: conn.requestTimedOut checked first whether the body makes progress, and started the body timer afterwards. The check flushes the body to the upstream. If that write fails, the attempt ends, the client gets its 503 and, if it has gone, its connection is closed, all within the check. The timer was then started on the closed connection, and two intervals later wrote a 408 to the descriptor and closed it.

Change: the timer is started first, the flush comes last. startTimer and the start of a response refuse a closed connection, and count a violation.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -4,6 +4,7 @@
 	"salttrack/balance"
 	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
+	"salttrack/internal/invariant"
 	"salttrack/internal/timer"
 	"salttrack/internal/trace"
 )
@@ -104,8 +105,12 @@
 }
 
 // startTimer sets the connection's timer, which calls the function do after the given duration in milliseconds.
-// It replaces the previous timer.
+// It replaces the previous timer. A closed connection gets none: its descriptor may belong to another connection when the timer fires.
 func (c *conn) startTimer(after balance.Millis, do func()) {
+	invariant.Check(!c.closed(), "a closed connection starts no timer")
+	if c.closed() {
+		return
+	}
 	c.stopTimer()
 	c.timer = c.server.Loop.After(after, do)
 }
--- a/internal/downstream/helpers_test.go
+++ b/internal/downstream/helpers_test.go
@@ -126,9 +126,17 @@
 	s.Do(func() { x.Respond(exchange.Response{Disposition: exchange.Served, Body: []byte(body)}) })
 }
 
+// onlyConn returns the only connection. It must be called on the event loop.
+func (s *testServer) onlyConn() *conn {
+	for c := range s.server.conns {
+		return c
+	}
+	return nil
+}
+
 // fd returns the descriptor of the only connection.
 func (s *testServer) fd() int {
-	for c := range s.server.conns {
+	if c := s.onlyConn(); c != nil {
 		return c.fd
 	}
 	return -1
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -216,10 +216,10 @@
 	if r.body.sufficient() {
 		r.body.bytesSinceCheck = 0
 		r.body.paused = false
+		c.startTimer(bodyProgressInterval, c.requestTimedOut)
 		if c.requestStream.active() {
 			c.requestStream.checkPaused()
 		}
-		c.startTimer(bodyProgressInterval, c.requestTimedOut)
 		return
 	}
 	c.server.counters.requestsTimedOut.Inc()
--- a/internal/downstream/request_stream.go
+++ b/internal/downstream/request_stream.go
@@ -125,6 +125,7 @@
 }
 
 // checkPaused records for the next bodyProgressInterval whether reading waits for buffer space.
+// The flush may write to the upstream, which may end the exchange and close the connection, so the caller must do nothing after it.
 func (s *requestStream) checkPaused() {
 	s.conn.reader.body.paused = s.stream.Available() == 0
 	s.stream.Flush()
--- /dev/null
+++ b/internal/downstream/request_stream_test.go
@@ -0,0 +1,50 @@
+package downstream
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"salttrack/internal/exchange"
+	"salttrack/internal/http1"
+)
+
+// longRequestHead is the head of a request of the class "pay" whose body is streamed. Its placeholders are the request id and a framing field.
+const longRequestHead = "POST /pay/x HTTP/1.1\r\nX-Txn: %s\r\nX-Lane: pay\r\nX-Remaining: 60\r\n%s\r\n\r\n"
+
+// longBodyPart is the number of bytes of a body that sendUntilPaused sends. The server and its kernel hold all of them.
+const longBodyPart = 100 << 10
+
+// sendUntilPaused sends the first part of a long request, and waits until the server has paused reading, as nothing reads the body.
+func (s *testServer) sendUntilPaused(c *client, framing, begin string) *exchange.Exchange {
+	s.T.Helper()
+	c.send(fmt.Sprintf(longRequestHead, "1", framing) + begin + strings.Repeat("x", longBodyPart))
+	x := s.nextExchange()
+	for paused := false; !paused; time.Sleep(time.Millisecond) {
+		s.Do(func() { paused = s.onlyConn().reader.body.paused })
+	}
+	return x
+}
+
+// Guards against a timer that is started on a closed connection: it would write a 408 to a descriptor that belongs to another
+// connection by then. The check whether a body makes progress writes to the upstream. If this write fails, the exchange ends,
+// and the connection of a client that has gone is closed, all within the check.
+func TestConnectionClosedByProgressCheck(t *testing.T) {
+	s := newTestServer(t, 64, 4)
+	c := s.connect()
+	x := s.sendUntilPaused(c, "Content-Length: 1000000", "")
+	s.Do(func() { // the loop handles no events while this function runs
+		x.Message.(*http1.Request).Stream.OnReadable(func() { x.Respond(exchange.Response{Disposition: exchange.Rejected}) })
+		c.Close()
+		busyWait(func() bool { return s.Loop.PeerClosed(s.fd()) })
+		s.Loop.Timers.Run(s.Loop.Now() + bodyProgressInterval + 1)
+	})
+	s.WaitForCounter("client_connections_open", 0)
+	for intervals := range 4 {
+		s.runTimers(s.Loop.Now() + float64(intervals+2)*bodyProgressInterval)
+	}
+	if got := s.CounterValue("responses_408"); got != 0 || s.CounterValue("responses_503") != 1 {
+		t.Errorf("%d responses with status 408 and %d with 503, want 0 and 1", got, s.CounterValue("responses_503"))
+	}
+}
--- a/internal/downstream/response.go
+++ b/internal/downstream/response.go
@@ -19,6 +19,9 @@
 func (w *responseWriter) respond(head http1.ResponseHead, body []byte) {
 	c := w.conn
 	c.checkMayRespond()
+	if c.closed() {
+		return
+	}
 	if c.requestStream.abandon() {
 		head.Close = true
 		c.linger.timeout = incompleteRequestLinger
@@ -32,9 +35,10 @@
 	w.write()
 }
 
-// checkMayRespond checks the invariant that a response may start: no other response is being written, no exchange is open,
-// and the last response of the connection has not been sent.
+// checkMayRespond checks the invariants of the start of a response: the connection is open, no other response is being written,
+// no exchange is open, and the last response of the connection has not been sent.
 func (c *conn) checkMayRespond() {
+	invariant.Check(!c.closed(), "a closed connection writes no response")
 	invariant.Check(c.writer.unsent == nil && c.pending.exchange == nil && !c.linger.started, "a connection has one response at a time")
 }
 
--- a/internal/downstream/response_stream.go
+++ b/internal/downstream/response_stream.go
@@ -25,6 +25,10 @@
 func (s *responseStream) start(stream *bodystream.Stream, r *http1.Request) {
 	c := s.conn
 	c.checkMayRespond()
+	if c.closed() {
+		stream.Abandon()
+		return
+	}
 	invariant.Check(!c.requestStream.active(), "a streamed response starts after the request is complete")
 	unknownLength := stream.Length < 0
 	chunked := unknownLength && !r.HTTP10
