The check for stalled streams does not use an attempt that its flush has ended

Change: the flush comes last.

TestClientDisconnectsDuringStallCheck crashed the test program before (nil pointer in brokenOutcome) and passes now, five runs with the race detector.

--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -52,7 +52,8 @@
 		if c.stream.Available() == 0 { // the client has not read more, so the upstream is not stalled
 			c.lastProgress = now
 		}
-		c.stream.Flush()
+		// Flush returns the buffer that Available may have taken. It comes last, as it may end the attempt.
+		defer c.stream.Flush()
 	case len(c.request.next()) > 0:
 	case c.request.body != nil: // the client has not sent more, so the upstream is not stalled
 		c.lastProgress = now
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -147,3 +147,25 @@
 		r.Do(func() { r.pool.Cancel(a) })
 	}
 }
+
+// Guards against a crash: the check for a stalled response passes unread bytes on to the client. If the client's connection
+// breaks in this call, the attempt ends within the check.
+func TestClientDisconnectsDuringStallCheck(t *testing.T) {
+	r := newRig(t, manyDescriptors)
+	u := newUpstream(t, r)
+	a := r.startExchange(r.newExchange(), longTimeout)
+	c := u.accept()
+	c.respond("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nabc")
+	stream := <-r.streams
+	r.Do(func() { stream.Consume(3) })
+	c.respond("def")
+	for unread := 0; unread < 3; time.Sleep(time.Millisecond) {
+		r.Do(func() { unread = len(stream.Peek()) })
+	}
+	r.Do(func() { stream.OnReadable(stream.Abandon) })
+	r.expireStallTimeout(a, func(*conn) bool { return true })
+	r.checkOutcome(a, "response stalls", balance.ConnectionReset)
+	if len(r.ended) != 0 {
+		t.Error("the attempt ends twice")
+	}
+}
