A long request whose body is rejected gets one response

What callers would see: two responses to one request.

Cause: a body that is malformed, too slow or cut off by a shutdown was aborted before its exchange had ended. The end of the body is reported to the upstream connection, which may write the rest of the head. If that write fails, the attempt ends, and the exchange, still in progress, gets a response; the rejection was the second one.

Change: conn.abandonExchange ends the exchange first and the stream after it, for rejected bodies and for clients that disconnect.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -97,11 +97,22 @@
 
 // clientDisconnected closes the connection after the client has disconnected before its response.
 func (c *conn) clientDisconnected() {
+	c.close(reasonClientDisconnected)
+	c.abandonExchange()
+}
+
+// abandonExchange ends the connection's exchange without a response, and the stream of its request body if there is one.
+// The exchange ends first: the end of the stream is reported to the upstream connection, whose attempt may fail in this call,
+// and a failure of an attempt would cause a response while the exchange is in progress.
+func (c *conn) abandonExchange() {
 	x := c.pending.exchange
 	c.pending.detachExchange(x)
-	c.requestStream.abort()
-	c.close(reasonClientDisconnected)
+	stream := c.requestStream.stream
+	c.requestStream.stream = nil
 	c.server.handler.ClientDisconnected(x)
+	if stream != nil {
+		stream.Abort()
+	}
 }
 
 // startTimer sets the connection's timer, which calls the function do after the given duration in milliseconds.
--- a/internal/downstream/request_stream.go
+++ b/internal/downstream/request_stream.go
@@ -135,21 +135,10 @@
 // An attempt that is in progress is aborted.
 func (s *requestStream) reject(status int) {
 	c := s.conn
-	x := c.pending.exchange
-	c.pending.detachExchange(x)
-	s.abort()
-	c.server.handler.ClientDisconnected(x)
+	c.abandonExchange()
 	c.rejectAndClose(status)
 }
 
-// abort ends the stream, if there is one, before the body is complete.
-func (s *requestStream) abort() {
-	if stream := s.stream; stream != nil {
-		s.stream = nil
-		stream.Abort()
-	}
-}
-
 // abandon stops receiving the body because the response is about to be sent. It reports whether a body was being received.
 func (s *requestStream) abandon() bool {
 	stream := s.stream
--- a/internal/downstream/request_stream_test.go
+++ b/internal/downstream/request_stream_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"salttrack/internal/bodystream"
 	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
 )
@@ -48,3 +51,31 @@
 		t.Errorf("%d responses with status 408 and %d with 503, want 0 and 1", got, s.CounterValue("responses_503"))
 	}
 }
+
+// Guards against two responses to a long request whose body is rejected: the end of the body is reported to the upstream, whose
+// attempt may fail in this call, and a failed attempt of an exchange in progress causes a response.
+func TestOneResponseToRejectedBody(t *testing.T) {
+	s := newTestServer(t, 64, 4)
+	c := s.connect()
+	x := s.sendUntilPaused(c, "Transfer-Encoding: chunked", "19000\r\n") // longBodyPart in hexadecimal
+	s.Do(func() {
+		stream := x.Message.(*http1.Request).Stream
+		for len(stream.Peek()) > 0 { // makes space for the malformed chunk
+			stream.Consume(len(stream.Peek()))
+		}
+		stream.OnReadable(func() {
+			stream.Consume(len(stream.Peek()))
+			if stream.State() != bodystream.Streaming && len(s.disconnected) == 0 {
+				x.Respond(exchange.Response{Disposition: exchange.Failed})
+			}
+		})
+	})
+	c.send("zz\r\n")
+	response, _ := c.response()
+	if rest, err := io.ReadAll(c.in); response.StatusCode != http.StatusBadRequest || len(rest) > 0 || err != nil {
+		t.Errorf("status %d and %d more bytes (%v), want 400 and none", response.StatusCode, len(rest), err)
+	}
+	if got := <-s.disconnected; got != x {
+		t.Error("the end of a different exchange was reported")
+	}
+}
