A wait that was interrupted reports the events that have occurred

What callers saw: after a hold-up (SIGSTOP, SIGCONT) requests got a 502 for a timeout, although their response had arrived before it was handled.

Cause: SIGCONT interrupts epoll_wait. Kernel.Wait took EINTR for "no events", and Loop.Turn went on to the due timers, against docs/networking.md.

Change: after EINTR Kernel.Wait polls once more without a timeout.

--- a/cmd/salttrack/serving_test.go
+++ b/cmd/salttrack/serving_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"syscall"
@@ -91,3 +92,36 @@
 	}
 	p.terminate()
 }
+
+// Guards against timers that run before events after a hold-up: a response that arrived while the program was stopped is read
+// before the timeout of its attempt is handled, although SIGCONT interrupts the wait for events.
+func TestResponseArrivesWhileStopped(t *testing.T) {
+	release := make(chan struct{})
+	e := newEnvironment(t, func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		fmt.Fprint(w, "late")
+	})
+	p := start(t, e.config(nil))
+	type answer struct {
+		status int
+		err    error
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		response, err := p.send(request{class: "pay", path: "x", id: "held", remaining: "0.4", body: strings.NewReader("payload")})
+		if err != nil {
+			answers <- answer{err: err}
+			return
+		}
+		response.Body.Close()
+		answers <- answer{status: response.StatusCode}
+	}()
+	p.waitFor("the request at the upstream", func() bool { return e.upstreams[0].requests.Load() > 0 })
+	p.cmd.Process.Signal(syscall.SIGSTOP)
+	close(release)
+	time.Sleep(500 * time.Millisecond) // past the timeout of the attempt
+	p.cmd.Process.Signal(syscall.SIGCONT)
+	if got := <-answers; got.status != http.StatusOK {
+		t.Errorf("status %d, %v, want 200: the response arrived before the timeout was handled", got.status, got.err)
+	}
+}
--- a/internal/epoll/kernel.go
+++ b/internal/epoll/kernel.go
@@ -83,9 +83,13 @@
 func (k *Kernel) Remove(fd int) { _ = unix.EpollCtl(k.epollFD, unix.EPOLL_CTL_DEL, fd, nil) }
 
 // Wait blocks until descriptors are ready, Wake is called or a timeout in milliseconds has passed. A timeout of -1
-// means no timeout. Wait returns the number of events that it has stored.
+// means no timeout. Wait returns the number of events that it has stored. A wait that was interrupted, as by SIGCONT after
+// SIGSTOP, still returns the events that have occurred: the loop has to handle them before the timers that became due.
 func (k *Kernel) Wait(events []loop.Event, timeout int) (int, error) {
 	n, err := unix.EpollWait(k.epollFD, events, timeout)
+	if err == unix.EINTR {
+		n, err = unix.EpollWait(k.epollFD, events, 0)
+	}
 	if err == unix.EINTR {
 		return 0, nil
 	}
