The time of a long request runs while bytes of its client wait unread

Cause: a client's time counts from its last byte, and for a streamed body the balancer took the moment at which it read that byte. An upstream that does not read makes the balancer stop reading too, so the last byte stayed in the kernel and the time never began.

Evidence: the trace of a lost request has remaining_ms=3.6e+06 for a client that waits 1.5 s, one attempt, and its end 5.88 s later.

Change: while bytes wait unread, the last one may be among them, so the time counts from the earliest moment at which they may have arrived; without unread bytes the client is still sending and no time runs, as before (requestStream.checkDeadline). When it has passed, the driver ends the attempt and the request gets its final response. The upstream counts as unreachable only if it stopped reading before the second half of the attempt (Attempt.BlockedSince), else the attempt says nothing about it.

--- a/cmd/salttrack/streaming_test.go
+++ b/cmd/salttrack/streaming_test.go
@@ -212,3 +212,18 @@
 	}
 	p.expectNothingInFlight()
 }
+
+// Guards against a long request without a final response: an upstream that does not read the body keeps the program from reading
+// the rest of it, and the client's time has to run nevertheless. The client waits 0.5 s, and a response up to 0.5 s later is late.
+func TestResponseWhileUpstreamDoesNotRead(t *testing.T) {
+	e := newEnvironment(t, neverRead)
+	p := start(t, e.config(nil))
+	conn := p.sendLongRequest("long", "0.5", 1<<20)
+	conn.SetReadDeadline(time.Now().Add(time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("response %v, %v, want status 503 within a second", response, err)
+	}
+	p.terminate()
+	p.expectNothingInFlight()
+}
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -107,8 +107,7 @@
 func (c *conn) abandonExchange() {
 	x := c.pending.exchange
 	c.pending.detachExchange(x)
-	stream := c.requestStream.stream
-	c.requestStream.stream = nil
+	stream := c.requestStream.detach()
 	c.server.handler.ClientDisconnected(x)
 	if stream != nil {
 		stream.Abort()
@@ -151,6 +150,7 @@
 		c.server.Trace.Write(trace.ConnectionClosed, trace.Event{Connection: c.fd, Request: c.pending.requestID(), Reason: reason})
 	}
 	c.stopReading()
+	c.requestStream.stopDeadlineCheck()
 	c.server.Loop.Close(c.fd)
 	c.unregister()
 	c.responseStream.abandon()
--- a/internal/downstream/counters.go
+++ b/internal/downstream/counters.go
@@ -37,6 +37,7 @@
 	acceptPauses              *counter.Counter // calls of pauseAccepting
 	connectionsBroken         *counter.Counter // connections that failed, whose client did not read in time, or whose response was truncated
 	requestsTimedOut          *counter.Counter
+	requestsExpired           *counter.Counter         // requests whose time ended before their streamed body was read completely
 	connectionsIdleClosed     *counter.Counter         // connections that were closed after a timeout without a request
 	responses                 map[int]*counter.Counter // responses by status code
 }
@@ -56,6 +57,7 @@
 		acceptPauses:              set.New("client_accept_pauses"),
 		connectionsBroken:         set.New("client_connections_broken"),
 		requestsTimedOut:          set.New("client_requests_timed_out"),
+		requestsExpired:           set.New("client_requests_expired"),
 		connectionsIdleClosed:     set.New("client_connections_idle_closed"),
 		responses:                 map[int]*counter.Counter{},
 	}
--- a/internal/downstream/dispatch.go
+++ b/internal/downstream/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"salttrack/balance"
 	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
 	"salttrack/internal/trace"
@@ -70,9 +71,14 @@
 // startDeadline sets the deadlines of a request. They count from the arrival of its last byte:
 // the time that the client takes to send the request does not reduce them.
 func (c *conn) startDeadline(x *exchange.Exchange, r *http1.Request) {
+	x.ClientDeadline = c.reader.receivedAt + r.RemainingSeconds*1000
+	x.RespondBy = c.reader.receivedAt + c.responseTime(r)
+}
+
+// responseTime returns the time between the last byte of a request and the time by which its response has to be sent, in milliseconds.
+func (c *conn) responseTime(r *http1.Request) balance.Millis {
 	remaining := r.RemainingSeconds * 1000
-	x.ClientDeadline = c.reader.receivedAt + remaining
-	x.RespondBy = x.ClientDeadline - min(c.server.settings.ResponseMargin, remaining/responseMarginDivisor)
+	return remaining - min(c.server.settings.ResponseMargin, remaining/responseMarginDivisor)
 }
 
 // traceRejected writes a trace event for a request that is rejected without an exchange.
--- a/internal/downstream/helpers_test.go
+++ b/internal/downstream/helpers_test.go
@@ -39,11 +39,13 @@
 	exchanges    chan *exchange.Exchange // arguments of HandleRequest
 	disconnected chan *exchange.Exchange // arguments of ClientDisconnected
 	completed    chan *exchange.Exchange // arguments of RequestComplete
+	expired      chan *exchange.Exchange // arguments of RequestExpired
 	respondBy    balance.Millis          // argument of the last call of SetShutdownDeadline
 }
 
 func (s *testServer) HandleRequest(x *exchange.Exchange)      { s.exchanges <- x }
 func (s *testServer) RequestComplete(x *exchange.Exchange)    { s.completed <- x }
+func (s *testServer) RequestExpired(x *exchange.Exchange)     { s.expired <- x }
 func (s *testServer) ClientDisconnected(x *exchange.Exchange) { s.disconnected <- x }
 func (s *testServer) SetShutdownDeadline(at balance.Millis)   { s.respondBy = at }
 
@@ -57,6 +59,7 @@
 		exchanges:    make(chan *exchange.Exchange, maxExchanges),
 		disconnected: make(chan *exchange.Exchange, maxExchanges),
 		completed:    make(chan *exchange.Exchange, maxExchanges),
+		expired:      make(chan *exchange.Exchange, maxExchanges),
 	}
 	s.server = NewServer(Options{
 		Loop:          s.Loop,
--- a/internal/downstream/limits.go
+++ b/internal/downstream/limits.go
@@ -35,8 +35,12 @@
 const (
 	// incompleteRequestDeadline is the deadline of a request with a streamed body, in milliseconds from the start of its exchange.
 	// When the last byte of the body has arrived, the deadline that the client has given replaces it.
+	// While the client may have sent that byte and it may not have been read, requestStream.checkDeadline limits the request.
 	incompleteRequestDeadline balance.Millis = 3600e3
 
+	// minDeadlineCheckInterval is the minimum interval between two checks of a request that is still being received, in milliseconds.
+	minDeadlineCheckInterval balance.Millis = 25
+
 	// responseMarginDivisor limits the response margin to a tenth of the remaining time that the client has given.
 	responseMarginDivisor = 10
 )
--- a/internal/downstream/request_stream.go
+++ b/internal/downstream/request_stream.go
@@ -8,13 +8,16 @@
 	"salttrack/internal/bodystream"
 	"salttrack/internal/http1"
 	"salttrack/internal/loop"
+	"salttrack/internal/timer"
 )
 
 // requestStream is the state of a connection that receives a streamed request body.
 // The request is dispatched before its body is complete, and its response may also be sent before that.
 type requestStream struct {
-	conn   *conn
-	stream *bodystream.Stream // passes the body to the upstream connection; nil in all other states
+	conn          *conn
+	stream        *bodystream.Stream // passes the body to the upstream connection; nil in all other states
+	waiting       bool               // reading waits for buffer space
+	deadlineTimer *timer.Timer       // runs checkDeadline
 }
 
 // active reports whether a streamed request body is being received.
@@ -30,12 +33,13 @@
 	r.Stream = stream
 	stream.OnWritable(func() {
 		if c.requestStream.stream == stream {
-			c.server.Loop.Watch(c.fd, loop.Readable|loop.HangUp)
+			c.requestStream.resume()
 		}
 	})
 	c.server.counters.requestsStreamed.Inc()
 	c.state = &c.requestStream
 	c.requestStream.stream = stream
+	c.requestStream.waiting = false
 	c.reader.body = bodyProgress{started: true}
 	c.startTimer(bodyProgressInterval, c.requestTimedOut)
 	complete := decoder.Complete()
@@ -46,6 +50,7 @@
 		c.requestStream.complete(following)
 	default:
 		c.reader.sendContinue()
+		c.requestStream.scheduleDeadlineCheck(c.responseTime(&r))
 		stream.Flush()
 	}
 }
@@ -65,8 +70,7 @@
 	for range maxReadsPerTurn {
 		space := stream.Available()
 		if space == 0 {
-			c.reader.body.paused = true
-			c.server.Loop.Watch(c.fd, 0)
+			s.pause()
 			return
 		}
 		n, err := c.server.Loop.Read(c.fd, c.server.readBuffer[:min(space, readBufferBytes)])
@@ -88,6 +92,28 @@
 	}
 }
 
+// pause stops reading until the stream has space. Bytes that the client has sent may stay unread meanwhile.
+func (s *requestStream) pause() {
+	c := s.conn
+	s.waiting = true
+	c.reader.body.paused = true
+	c.server.Loop.MarkUnreadSince(c.fd, c.server.Loop.EarliestArrivalAt(c.fd))
+	c.server.Loop.Watch(c.fd, 0)
+}
+
+// resume continues to read after a pause.
+func (s *requestStream) resume() {
+	if !s.waiting {
+		return
+	}
+	c := s.conn
+	s.waiting = false
+	if c.server.Loop.IdleOpen(c.fd) {
+		c.server.Loop.MarkRead(c.fd)
+	}
+	c.server.Loop.Watch(c.fd, loop.Readable|loop.HangUp)
+}
+
 // decode decodes bytes of the body. It reports whether more bytes have to be read.
 // This is false if the body is complete or the request was rejected.
 func (s *requestStream) decode(p []byte) bool {
@@ -110,9 +136,8 @@
 // The bytes in following were received after the body.
 func (s *requestStream) complete(following []byte) {
 	c := s.conn
-	stream := s.stream
+	stream := s.detach()
 	x := c.pending.exchange
-	s.stream = nil
 	c.state = &c.pending
 	c.reader.unread = following
 	c.stopTimer()
@@ -141,11 +166,18 @@
 
 // abandon stops receiving the body because the response is about to be sent. It reports whether a body was being received.
 func (s *requestStream) abandon() bool {
-	stream := s.stream
+	stream := s.detach()
 	if stream == nil {
 		return false
 	}
-	s.stream = nil
 	stream.Abandon()
 	return true
 }
+
+// detach ends the receiving of the body and returns its stream, nil if no body is being received.
+func (s *requestStream) detach() *bodystream.Stream {
+	stream := s.stream
+	s.stream = nil
+	s.stopDeadlineCheck()
+	return stream
+}
--- a/internal/downstream/request_stream_test.go
+++ b/internal/downstream/request_stream_test.go
@@ -79,3 +79,73 @@
 		t.Error("the end of a different exchange was reported")
 	}
 }
+
+// longRequestRemaining is the time in milliseconds that longRequestHead gives.
+const longRequestRemaining = 60000
+
+// elapse runs the deadline check as if the time of the request had passed since the oldest unread byte arrived.
+// It must be called on the event loop.
+func (s *testServer) elapse(c *conn) {
+	s.Loop.MarkUnreadSince(c.fd, s.Loop.EarliestArrivalAt(c.fd)-longRequestRemaining)
+	c.requestStream.checkDeadline()
+}
+
+// Guards against a long request without a response: while its bytes wait unread, the last one may be among them, so the client's
+// time has to run.
+func TestDeadlineOfUnreadBody(t *testing.T) {
+	s := newTestServer(t, 64, 4)
+	x := s.sendUntilPaused(s.connect(), "Content-Length: 1000000", "")
+	s.Do(func() {
+		s.onlyConn().requestStream.checkDeadline()
+		if told := x.Deadline() - s.Loop.Now(); len(s.expired) != 0 || told > longRequestRemaining {
+			t.Errorf("%d requests expired before their time, and %.0f ms of %d remain", len(s.expired), told, longRequestRemaining)
+		}
+		s.elapse(s.onlyConn())
+		if len(s.expired) != 1 || <-s.expired != x || s.Loop.Now() < x.RespondBy || x.RespondBy > x.ClientDeadline {
+			t.Errorf("the request has not expired: now %.0f, respond by %.0f, client waits until %.0f", s.Loop.Now(), x.RespondBy, x.ClientDeadline)
+		}
+	})
+	if got := s.CounterValue("client_requests_expired"); got != 1 {
+		t.Errorf("%d expired requests are counted, want 1", got)
+	}
+}
+
+// The time of a client that is still sending must not run, whether the server reads or waits for buffer space.
+// If it waits, the time runs from the next byte on.
+func TestNoDeadlineWhileClientSends(t *testing.T) {
+	s := newTestServer(t, 64, 4)
+	c := s.connect()
+	x := s.sendUntilPaused(c, "Content-Length: 1000000", "")
+	stream := x.Message.(*http1.Request).Stream
+	for received := 0; received < longBodyPart; time.Sleep(time.Millisecond) { // takes all that was sent, so that no byte is unread
+		s.Do(func() {
+			for p := stream.Peek(); len(p) > 0; p = stream.Peek() {
+				received += len(p)
+				stream.Consume(len(p))
+			}
+		})
+	}
+	expectNotExpired := func(state string, check func(*conn)) {
+		s.Do(func() {
+			if check(s.onlyConn()); len(s.expired) > 0 {
+				t.Errorf("%s: the request of a client that is still sending has expired", state)
+			}
+		})
+	}
+	expectNotExpired("reading", func(c *conn) { c.requestStream.checkDeadline() })
+	c.send(strings.Repeat("x", bodystream.BufferSize)) // fills the buffer
+	for waiting := false; !waiting; time.Sleep(time.Millisecond) {
+		s.Do(func() { waiting = s.onlyConn().requestStream.waiting })
+	}
+	expectNotExpired("waiting", s.elapse)
+	c.send("x")
+	expectNotExpired("one byte unread", func(c *conn) {
+		busyWait(func() bool { return !s.Loop.IdleOpen(c.fd) })
+		c.requestStream.checkDeadline()
+	})
+	s.Do(func() {
+		if s.elapse(s.onlyConn()); len(s.expired) != 1 {
+			t.Error("the request of a client that may have sent its last byte has not expired")
+		}
+	})
+}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -30,6 +30,9 @@
 	ClientDisconnected(*exchange.Exchange)
 	// RequestComplete reports that the last byte of a streamed request body has been received.
 	RequestComplete(*exchange.Exchange)
+	// RequestExpired reports that the deadline of a request has passed, although the last byte of its streamed body has not
+	// been read yet. The response has to be sent now.
+	RequestExpired(*exchange.Exchange)
 	// SetShutdownDeadline sets the time by which all current and future exchanges must have their responses.
 	SetShutdownDeadline(balance.Millis)
 }
--- a/internal/driver/events.go
+++ b/internal/driver/events.go
@@ -53,6 +53,14 @@
 	d.executeActions()
 }
 
+// RequestExpired reports that the deadline of an exchange has passed, although the last byte of its request has not been
+// read yet. The exchange gets its final response within the next turn of the event loop.
+func (d *Driver) RequestExpired(x *exchange.Exchange) {
+	if x.Disposition() == exchange.InProgress {
+		d.shortenDeadline(x, d.now())
+	}
+}
+
 // ClientDisconnected reports that the client of an exchange has disconnected, or that the rest of its request body was
 // rejected. The exchange ends with the disposition Abandoned. If it has already ended, the call has no effect.
 func (d *Driver) ClientDisconnected(x *exchange.Exchange) {
--- a/internal/driver/helpers_test.go
+++ b/internal/driver/helpers_test.go
@@ -108,6 +108,9 @@
 	return !f.disconnected
 }
 
+// Deadline implements exchange.Client.
+func (f *fixture) Deadline(x *exchange.Exchange) balance.Millis { return x.RespondBy }
+
 // Respond implements exchange.Client. It records the response.
 func (f *fixture) Respond(x *exchange.Exchange, r exchange.Response) {
 	f.responses[x] = append(f.responses[x], r)
--- a/internal/driver/timeouts.go
+++ b/internal/driver/timeouts.go
@@ -18,13 +18,26 @@
 	delete(d.attemptTimeouts, a)
 }
 
-// stopAttempt aborts an attempt in flight and ends it with an outcome. If the attempt timed out before the request was
-// written completely, the request was never executed, and the outcome is ConnectFailed in place of TimedOut. The outcome
-// Cancelled is kept in either case, because a cancellation is not a failure of the upstream.
+// stopAttempt aborts an attempt in flight and ends it with an outcome. An attempt that timed out before the request was
+// written completely gets another outcome in place of TimedOut, as the request was never executed. The outcome Cancelled
+// is kept in either case, because a cancellation is not a failure of the upstream.
 func (d *Driver) stopAttempt(a *exchange.Attempt, outcome balance.Outcome) {
 	if outcome == balance.TimedOut && !a.RequestComplete {
-		outcome = balance.ConnectFailed
+		outcome = d.incompleteOutcome(a)
 	}
 	d.upstreams.Cancel(a)
 	d.AttemptEnded(a, exchange.Result{Outcome: outcome})
 }
+
+// incompleteOutcome returns the outcome of an attempt that timed out before the request was written completely. If the
+// upstream has read a part of a streamed body, and has gone on reading in the second half of the attempt, the body was too
+// long for the time, or its end was missing, which is not a failure of the upstream. Otherwise the upstream counts as
+// unreachable.
+func (d *Driver) incompleteOutcome(a *exchange.Attempt) balance.Outcome {
+	secondHalf := (a.SentAt + d.now()) / 2
+	blocked := a.BlockedSince != 0 && a.BlockedSince < secondHalf
+	if a.Exchange.BodySent && !blocked {
+		return balance.NotSent
+	}
+	return balance.ConnectFailed
+}
--- a/internal/driver/timeouts_test.go
+++ b/internal/driver/timeouts_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"salttrack/balance"
 	"salttrack/internal/exchange"
 )
 
@@ -39,3 +40,34 @@
 		t.Errorf("timeout after %.0f ms, latency objective 800 ms", a.TimeoutAt-f.now)
 	}
 }
+
+// A request whose time has passed before its last byte was read gets its final response. No upstream has executed it, so
+// it is rejected. The upstream counts as unreachable only if it has stopped reading before the second half of the attempt.
+func TestRequestExpires(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		bodySent     bool
+		blockedAfter balance.Millis // when the upstream stopped reading, in ms from the start; 0 if it still reads
+		counter      string
+	}{
+		{"nothing sent", false, 0, "attempts_ended_connect_failed"},
+		{"upstream has stopped reading", true, 100, "attempts_ended_connect_failed"},
+		{"upstream reads slowly", true, 900, "attempts_ended_not_sent"},
+		{"upstream has read all that there is", true, 0, "attempts_ended_not_sent"},
+	} {
+		f := newFixture(t, testConfig())
+		x := f.receiveIncomplete(nonIdempotentClass)
+		a := f.inFlight[0]
+		a.RequestComplete = false
+		x.BodySent = tt.bodySent
+		if tt.blockedAfter > 0 {
+			a.BlockedSince = f.now + tt.blockedAfter
+		}
+		f.advance(1000)
+		f.driver.RequestExpired(x)
+		f.advance(1)
+		if f.disposition(x) != exchange.Rejected || f.value(tt.counter) != 1 || len(f.cancelled) != 1 {
+			t.Errorf("%s: responses %+v, %s %d, %d attempts cancelled", tt.name, f.responses[x], tt.counter, f.value(tt.counter), len(f.cancelled))
+		}
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -49,6 +49,9 @@
 	// Connected reports whether the client is still connected. It checks the state of the connection at the time of the
 	// call. If the client has disconnected, Connected reports this to the driver before it returns.
 	Connected(*Exchange) bool
+	// Deadline returns the time by which the final response of an exchange with an incomplete body has to be sent, as far
+	// as it is known at the time of the call. It becomes later while the client is still sending.
+	Deadline(*Exchange) balance.Millis
 }
 
 // Exchange is a request from a client, its attempts and its final response.
@@ -82,6 +85,7 @@
 	SentAt          balance.Millis // time at which the attempt began, which may be before its connection was established
 	TimeoutAt       balance.Millis // time at which the attempt times out
 	RequestComplete bool           // the request was written completely, so the upstream may have executed it
+	BlockedSince    balance.Millis // since when the upstream has read nothing of the unsent part of the request; 0 if it can be sent
 	Ended           bool
 	NeverRan        bool // the outcome proves that the upstream did not execute the request
 }
@@ -110,6 +114,15 @@
 	return x.disposition == InProgress
 }
 
+// Deadline returns the time by which the final response has to be sent. For an exchange in progress whose body is incomplete
+// it is the earliest such time, as far as it is known now.
+func (x *Exchange) Deadline() balance.Millis {
+	if x.BodyIncomplete && x.disposition == InProgress {
+		return x.client.Deadline(x)
+	}
+	return x.RespondBy
+}
+
 // Finished reports whether the exchange has ended and has no attempts in flight.
 func (x *Exchange) Finished() bool { return x.disposition != InProgress && x.openAttempts == 0 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"salttrack/balance"
 	"salttrack/internal/invariant"
 )
 
@@ -11,6 +12,8 @@
 
 func (c *client) Connected(*Exchange) bool { return true }
 
+func (c *client) Deadline(x *Exchange) balance.Millis { return x.RespondBy }
+
 func (c *client) Respond(_ *Exchange, r Response) { c.responses = append(c.responses, r) }
 
 // Only the first response of an exchange is sent to the client, and only the first end of an attempt counts.
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -40,7 +40,8 @@
 	ended   chan endedAttempt
 	streams chan *bodystream.Stream
 
-	notSendable bool // Sendable returns false for all attempts
+	notSendable bool           // Sendable returns false for all attempts
+	remaining   balance.Millis // time until the deadline that Deadline returns
 }
 
 func (r *rig) AttemptEnded(a *exchange.Attempt, result exchange.Result) {
@@ -49,6 +50,7 @@
 func (r *rig) ResponseStarted(_ *exchange.Attempt, stream *bodystream.Stream) { r.streams <- stream }
 func (r *rig) Sendable(*exchange.Attempt) bool                                { return !r.notSendable }
 func (r *rig) Connected(*exchange.Exchange) bool                              { return true }
+func (r *rig) Deadline(*exchange.Exchange) balance.Millis                     { return r.Loop.Now() + r.remaining }
 func (r *rig) Respond(*exchange.Exchange, exchange.Response)                  {}
 
 func newRig(t *testing.T, descriptors int, rules ...faultinject.Rule) *rig {
@@ -57,6 +59,8 @@
 		Rig:     epolltest.Start(t, rules...),
 		ended:   make(chan endedAttempt, 100),
 		streams: make(chan *bodystream.Stream, 100),
+
+		remaining: longTimeout,
 	}
 	r.pool = New(Options{
 		Loop:           r.Loop,
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -56,10 +56,12 @@
 			return
 		}
 		if n < len(p) {
+			c.markBlocked(n)
 			c.pool.loop.Watch(c.fd, loop.Readable|loop.Writable|loop.HangUp)
 			return
 		}
 	}
+	c.attempt.BlockedSince = 0
 	c.request.buffered = nil
 	if c.request.body != nil && c.request.body.Done() {
 		c.request.body = nil
@@ -70,6 +72,13 @@
 	c.pool.loop.Watch(c.fd, loop.Readable|loop.HangUp)
 }
 
+// markBlocked records that the kernel's send buffer is full after n more bytes were written.
+func (c *conn) markBlocked(n int) {
+	if n > 0 || c.attempt.BlockedSince == 0 {
+		c.attempt.BlockedSince = c.pool.loop.Now()
+	}
+}
+
 // handleSendError ends the attempt. If the upstream sent a response before it closed the connection, the response
 // decides the outcome, although the request was not sent completely.
 func (c *conn) handleSendError() {
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -169,3 +170,26 @@
 		t.Error("the attempt ends twice")
 	}
 }
+
+// The time since when the upstream has read nothing starts when the kernel's send buffer is full, and ends when it has space.
+func TestBlockedSince(t *testing.T) {
+	r := newRig(t, manyDescriptors)
+	u := newUpstream(t, r)
+	x, body := r.stallingExchange(8 << 20)
+	a := r.startExchange(x, longTimeout)
+	c := u.accept()
+	waitUntil := func(blocked bool) {
+		for reached := false; !reached; time.Sleep(time.Millisecond) {
+			r.Do(func() { reached = blocked == (a.BlockedSince != 0) })
+		}
+	}
+	waitUntil(true)
+	go io.Copy(io.Discard, c.reader)
+	waitUntil(false)
+	r.Do(func() {
+		if len(body.Peek()) > 0 {
+			t.Error("the attempt is not blocked, but a part of the body is unsent")
+		}
+		r.pool.Cancel(a)
+	})
+}
