A client's close is noticed while bytes of its long request wait unread

What the client does was taken from what the balancer reads, also while it does not read: requestStream stopped watching the connection, and Connected did not ask the kernel.

Change: a paused connection is watched for the close, Connected asks the kernel, and so does the server before it passes the last bytes of a body on. A close behind more unread bytes than the kernel holds (about 110 KiB) is still seen only when these are read, at the last bytes at the latest.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -85,9 +85,8 @@
 // Connected reports whether the client still waits for its response.
 // It asks the kernel, since the client's close may have arrived without its event having been handled:
 // requests that were read earlier, or in the same turn of the event loop, are handled first.
-// While a streamed request body is being received, Connected does not ask the kernel, since reading detects the close.
 func (c *conn) Connected(*exchange.Exchange) bool {
-	if !c.requestStream.active() && c.server.Loop.PeerClosed(c.fd) {
+	if c.server.Loop.PeerClosed(c.fd) {
 		c.server.counters.disconnectedBeforeAttempt.Inc()
 		c.clientDisconnected()
 		return false
--- a/internal/downstream/request_stream.go
+++ b/internal/downstream/request_stream.go
@@ -55,8 +55,9 @@
 	}
 }
 
+// ready reads bytes of the body. A close by the client ends the request even if its last bytes have not been read yet.
 func (s *requestStream) ready(events uint32) {
-	if events&loop.Failed != 0 {
+	if events&(loop.HangUp|loop.Failed) != 0 {
 		s.conn.clientDisconnected()
 		return
 	}
@@ -98,7 +99,7 @@
 	s.waiting = true
 	c.reader.body.paused = true
 	c.server.Loop.MarkUnreadSince(c.fd, c.server.Loop.EarliestArrivalAt(c.fd))
-	c.server.Loop.Watch(c.fd, 0)
+	c.server.Loop.Watch(c.fd, loop.HangUp)
 }
 
 // resume continues to read after a pause.
@@ -133,9 +134,14 @@
 }
 
 // complete ends the stream after the last byte of the body and sets the deadline that the client has given.
-// The bytes in following were received after the body.
+// The bytes in following were received after the body. If the client has gone, the last bytes are not forwarded,
+// so that no upstream executes the request.
 func (s *requestStream) complete(following []byte) {
 	c := s.conn
+	if c.server.Loop.PeerClosed(c.fd) {
+		c.clientDisconnected()
+		return
+	}
 	stream := s.detach()
 	x := c.pending.exchange
 	c.state = &c.pending
--- a/internal/downstream/request_stream_test.go
+++ b/internal/downstream/request_stream_test.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"salttrack/internal/bodystream"
+	"salttrack/internal/epoll/epolltest"
 	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
+	"salttrack/internal/loop"
 )
 
 // longRequestHead is the head of a request of the class "pay" whose body is streamed. Its placeholders are the request id and a framing field.
@@ -149,3 +151,36 @@
 		}
 	})
 }
+
+// Guards against a long request that is sent on after its client has gone: the close has to be noticed although unread bytes
+// precede it, by the next event and, if that has not been handled yet, before an attempt or the last bytes are sent.
+func TestDisconnectBehindUnreadBody(t *testing.T) {
+	for name, unhandled := range map[string]func(*testServer, *exchange.Exchange){
+		"event":        func(*testServer, *exchange.Exchange) {},
+		"next attempt": func(s *testServer, x *exchange.Exchange) { x.Sendable() },
+		"last byte": func(s *testServer, x *exchange.Exchange) {
+			stream := x.Message.(*http1.Request).Stream
+			for c := s.onlyConn(); c != nil && c.requestStream.active(); {
+				stream.Consume(len(stream.Peek()))
+				c.Ready(loop.Readable)
+			}
+		},
+	} {
+		s := newTestServer(t, 64, 4)
+		c := s.connect()
+		x := s.sendUntilPaused(c, fmt.Sprint("Content-Length: ", longBodyPart), "")
+		s.Do(func() { // the loop handles no events while this function runs
+			c.Close()
+			busyWait(func() bool { return s.Loop.PeerClosed(s.fd()) })
+			unhandled(s, x)
+		})
+		select {
+		case got := <-s.disconnected:
+			if got != x || len(s.completed) > 0 {
+				t.Errorf("%s: another exchange has ended, or %d requests look complete", name, len(s.completed))
+			}
+		case <-time.After(epolltest.Timeout):
+			t.Errorf("%s: the close is not noticed", name)
+		}
+	}
+}
