The upstream of an incomplete long request is told the time that is left

Change: while the body is incomplete, X-Remaining follows from Exchange.Deadline, which counts from the earliest moment at which unread bytes may have arrived.

--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -23,15 +23,15 @@
 func (w *requestWriter) sent() bool { return len(w.buffered) == 0 && w.body == nil }
 
 // sendHeader starts to send the request on an established connection. The remaining time in the request is computed
-// here, as connecting may have taken some time. While the client is still sending the body, the timeout of the attempt
-// has not started, and the remaining time is the one that the client has sent.
+// here, as connecting may have taken some time. While the body is incomplete, the timeout of the attempt has not
+// started, and the remaining time follows from the deadline of the exchange.
 func (c *conn) sendHeader() {
 	req := requestOf(c.attempt)
-	remaining := c.attempt.TimeoutAt - c.pool.loop.Now()
+	deadline := c.attempt.TimeoutAt
 	if c.attempt.Exchange.BodyIncomplete {
-		const millisPerSecond = 1000
-		remaining = req.RemainingSeconds * millisPerSecond
+		deadline = c.attempt.Exchange.Deadline()
 	}
+	remaining := deadline - c.pool.loop.Now()
 	c.request.buffered = http1.AppendRequest(nil, req, c.endpoint.host, remaining)
 	if c.request.body != nil { // the timeout of the attempt starts only when its body is complete
 		c.lastProgress = c.pool.loop.Now()
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -171,6 +172,24 @@
 	}
 }
 
+// Guards against an upstream that is told more time than the client has: while the body is incomplete, the remaining time in the
+// request follows from the deadline as it is known when the request is sent.
+func TestRemainingTimeOfIncompleteRequest(t *testing.T) {
+	r := newRig(t, manyDescriptors)
+	u := newUpstream(t, r)
+	r.remaining = 400
+	x, _ := r.stallingExchange(100) // its client has given it 1 s
+	a := r.startExchange(x, longTimeout)
+	request, err := http.ReadRequest(u.accept().reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if told := request.Header.Get("X-Remaining"); told > "0.400" {
+		t.Errorf("the upstream is told %s s, want at most 0.400", told)
+	}
+	r.Do(func() { r.pool.Cancel(a) })
+}
+
 // The time since when the upstream has read nothing starts when the kernel's send buffer is full, and ends when it has space.
 func TestBlockedSince(t *testing.T) {
 	r := newRig(t, manyDescriptors)
