A queued long request gets a new queue timeout with its last byte

Cause: the deadline of a long request becomes known with its last byte; completeBody set it but not the timer of a queued request, unlike shortenDeadline.

Change: limitQueueing sets the timer for both and for a new request.

TestQueueTimeoutFollowsDeadline failed before for the completed body (no timer set) and passes now.

--- a/balance/queue.go
+++ b/balance/queue.go
@@ -43,7 +43,15 @@
 			return
 		}
 	}
-	b.outbox.setTimer(SetTimer{Timer: TimerID(r.id), After: b.queueTimeout(r)})
+	b.limitQueueing(r)
+}
+
+// limitQueueing sets the timer of a queued request. It is called again when the deadline of the request changes.
+// It does nothing if the request is not queued.
+func (b *Balancer) limitQueueing(r *request) {
+	if r.queued {
+		b.outbox.setTimer(SetTimer{Timer: TimerID(r.id), After: b.queueTimeout(r)})
+	}
 }
 
 // queueTimeout returns how long a request may wait from now on, so that it can still be served in time.
--- a/balance/queue_test.go
+++ b/balance/queue_test.go
@@ -75,3 +75,26 @@
 		}
 	}
 }
+
+// Guards against a late response to a long request: when the last byte of a queued request has arrived, its deadline is known,
+// and its queue timeout has to follow it.
+func TestQueueTimeoutFollowsDeadline(t *testing.T) {
+	const remaining Millis = 150
+	for name, report := range map[string]func(*Balancer, RequestID){
+		"body complete":      func(b *Balancer, id RequestID) { b.OnBodyComplete(0, id, remaining) },
+		"deadline shortened": func(b *Balancer, id RequestID) { b.OnDeadlineShortened(0, id, remaining) },
+	} {
+		b := New(twoClasses(1, 12), 1, 0)
+		b.updateEndpoints(EndpointUpdate{Endpoints: testEndpoints(4), Snapshot: true})
+		for i := range b.zones {
+			b.zones[i].limitPerUpstream, b.zones[i].roundingDraw = 0, 1 // no capacity
+		}
+		b.OnRequest(0, &RequestArrived{Request: 7, ExpiresIn: 3600e3, BodyIncomplete: true})
+		discard(b)
+		report(b, 7)
+		timers := drain[SetTimer](b)
+		if len(b.queue) != 1 || len(timers) != 1 || timers[0].Timer != 7 || timers[0].After > remaining/2 {
+			t.Errorf("%s: %d requests in the queue, timers %+v, want one request with a timer of at most %.0f ms", name, len(b.queue), timers, remaining/2)
+		}
+	}
+}
--- a/balance/request.go
+++ b/balance/request.go
@@ -182,12 +182,13 @@
 
 // completeBody handles the arrival of the last byte of a request body.
 // The latencies of the request and of its attempts in flight are measured from now on.
-// The attempts count as load and get new timeouts.
+// The attempts count as load and get new timeouts, and a queued request gets a new queue timeout.
 func (b *Balancer) completeBody(r *request, expiresIn Millis) {
 	r.bodyIncomplete = false
 	r.arrivedAt = b.now
 	r.expiresAt = b.now + expiresIn
 	r.usefulUntil = b.usefulDeadline(r)
+	b.limitQueueing(r)
 	for i := range r.attempts {
 		a := &r.attempts[i]
 		if a.ended {
@@ -203,9 +204,7 @@
 func (b *Balancer) shortenDeadline(r *request, expiresIn Millis) {
 	r.expiresAt = min(r.expiresAt, b.now+expiresIn)
 	r.usefulUntil = min(r.usefulUntil, r.expiresAt)
-	if r.queued {
-		b.outbox.setTimer(SetTimer{Timer: TimerID(r.id), After: b.queueTimeout(r)})
-	}
+	b.limitQueueing(r)
 }
 
 // conclude records that a request has its final response or needs none.
