--- a/balance/queue.go
+++ b/balance/queue.go
@@ -46,8 +46,8 @@
 	b.limitQueueing(r)
 }
 
-// limitQueueing sets the timer of a queued request. It is called again when the deadline of the request changes.
-// It does nothing if the request is not queued.
+// limitQueueing sets the timer of a queued request. It has no effect on a request that is not queued.
+// It is called again when the deadline of the request changes.
 func (b *Balancer) limitQueueing(r *request) {
 	if r.queued {
 		b.outbox.setTimer(SetTimer{Timer: TimerID(r.id), After: b.queueTimeout(r)})
--- a/internal/downstream/request_stream_test.go
+++ b/internal/downstream/request_stream_test.go
@@ -157,7 +157,7 @@
 func TestDisconnectBehindUnreadBody(t *testing.T) {
 	for name, unhandled := range map[string]func(*testServer, *exchange.Exchange){
 		"event":        func(*testServer, *exchange.Exchange) {},
-		"next attempt": func(s *testServer, x *exchange.Exchange) { x.Sendable() },
+		"next attempt": func(_ *testServer, x *exchange.Exchange) { x.Sendable() },
 		"last byte": func(s *testServer, x *exchange.Exchange) {
 			stream := x.Message.(*http1.Request).Stream
 			for c := s.onlyConn(); c != nil && c.requestStream.active(); {
