--- a/cmd/salttrack/body_buffers_test.go
+++ b/cmd/salttrack/body_buffers_test.go
@@ -14,23 +14,29 @@
 // bodyBuffering is how long the tests wait until the program has read what it can of a request that its upstream does not read.
 const bodyBuffering = 300 * time.Millisecond
 
-// rejectWithoutReading is the handler of an upstream that rejects a request before it has read the body.
-func rejectWithoutReading(w http.ResponseWriter, _ *http.Request) {
+// rejection is the response of an upstream that has not executed the request.
+const rejection = "HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"
+
+// hijack returns the connection of a request, whose body has not been read. The handler has to close it.
+func hijack(w http.ResponseWriter) *net.TCPConn {
 	conn, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		panic(err)
 	}
+	return conn.(*net.TCPConn)
+}
+
+// rejectWithoutReading is the handler of an upstream that rejects a request before it has read the body.
+func rejectWithoutReading(w http.ResponseWriter, _ *http.Request) {
+	conn := hijack(w)
 	time.Sleep(bodyBuffering)
-	io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
+	io.WriteString(conn, rejection)
 	time.AfterFunc(waitTimeout, func() { conn.Close() })
 }
 
 // neverRead is the handler of an upstream that neither reads the body of a request nor responds.
 func neverRead(w http.ResponseWriter, _ *http.Request) {
-	conn, _, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		panic(err)
-	}
+	conn := hijack(w)
 	time.AfterFunc(waitTimeout, func() { conn.Close() })
 }
 
