One conversion of the remaining time; the trace shows the time that is known

Change: http1.Request.RemainingTime; "request accepted" has the deadline as far as it is known (Exchange.Deadline).

--- a/internal/downstream/dispatch.go
+++ b/internal/downstream/dispatch.go
@@ -63,7 +63,7 @@
 	c.pending.exchange = x
 	s.openRequestIDs[r.ID] = struct{}{}
 	if s.Trace.Enabled() {
-		s.Trace.Write(trace.RequestAccepted, trace.Event{Request: r.ID, Class: r.Class, Connection: c.fd, RemainingMS: x.RespondBy - s.Loop.Now()})
+		s.Trace.Write(trace.RequestAccepted, trace.Event{Request: r.ID, Class: r.Class, Connection: c.fd, RemainingMS: x.Deadline() - s.Loop.Now()})
 	}
 	s.handler.HandleRequest(x)
 }
@@ -71,13 +71,13 @@
 // startDeadline sets the deadlines of a request. They count from the arrival of its last byte:
 // the time that the client takes to send the request does not reduce them.
 func (c *conn) startDeadline(x *exchange.Exchange, r *http1.Request) {
-	x.ClientDeadline = c.reader.receivedAt + r.RemainingSeconds*1000
+	x.ClientDeadline = c.reader.receivedAt + r.RemainingTime()
 	x.RespondBy = c.reader.receivedAt + c.responseTime(r)
 }
 
 // responseTime returns the time between the last byte of a request and the time by which its response has to be sent, in milliseconds.
 func (c *conn) responseTime(r *http1.Request) balance.Millis {
-	remaining := r.RemainingSeconds * 1000
+	remaining := r.RemainingTime()
 	return remaining - min(c.server.settings.ResponseMargin, remaining/responseMarginDivisor)
 }
 
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -169,6 +169,13 @@
 	return stateComplete, nil
 }
 
+// RemainingTime returns the time until the client stops waiting for the response, counted from the last byte of the request,
+// in milliseconds.
+func (r *Request) RemainingTime() float64 {
+	const millisPerSecond = 1000
+	return r.RemainingSeconds * millisPerSecond
+}
+
 // AppendRequest appends the request that is sent to an upstream: the head, and the body unless it is streamed.
 // The field Host has the value host. The field X-Remaining says how long the caller waits for the response:
 // remainingMS is this time in milliseconds, and it is written in seconds.
--- a/internal/simulation/fake/upstream_conn.go
+++ b/internal/simulation/fake/upstream_conn.go
@@ -96,7 +96,7 @@
 		Balancer:    u.Host.PeerName(c.conn.fd),
 		FirstByteAt: c.firstByteAt,
 		LastByteAt:  u.Host.LastReadSentAt(c.conn.fd),
-		Remaining:   r.RemainingSeconds * 1000,
+		Remaining:   r.RemainingTime(),
 	})
 	class := slices.Index(u.Classes, r.Class)
 	switch {
@@ -125,7 +125,7 @@
 		return
 	}
 	u.service.slowdown = u.Faults.Slowdown
-	j := &job{cost: cost, expiresAt: now + r.RemainingSeconds*1000}
+	j := &job{cost: cost, expiresAt: now + r.RemainingTime()}
 	j.onStart = func() { c.recordExecution(r) }
 	j.onExpired = func() { c.finishJob(func() { c.reject(http.StatusGatewayTimeout) }) }
 	j.onDone = func() { c.onJobDone(r, j) }
