--- a/internal/downstream/counters.go
+++ b/internal/downstream/counters.go
@@ -25,19 +25,19 @@
 }
 
 type counters struct {
-	disconnectedBeforeAttempt *counter.Counter // clients that were found disconnected when an attempt was about to be sent
-	requestsStreamed          *counter.Counter // requests with a streamed body
-	connectionsAccepted       *counter.Counter
-	requests                  *counter.Counter
-	readinessChecks           *counter.Counter
-	requestsMalformed         *counter.Counter // requests that were malformed, not allowed, too slow, or incomplete in a shutdown
-	connectionsShed           *counter.Counter // idle connections that were closed to free a descriptor
-	overflowRejected          *counter.Counter // requests that were rejected on overflow connections
-	shutdownRejected          *counter.Counter // complete requests that were rejected because of a shutdown
-	acceptPauses              *counter.Counter // calls of pauseAccepting
-	connectionsBroken         *counter.Counter // connections that failed, whose client did not read in time, or whose response was truncated
-	requestsTimedOut          *counter.Counter
-	requestsExpired           *counter.Counter         // requests whose time ended before their streamed body was read completely
+	disconnectedBeforeAttempt *counter.Counter         // clients that were found disconnected when an attempt was about to be sent
+	requestsStreamed          *counter.Counter         // requests with a streamed body
+	connectionsAccepted       *counter.Counter         // accepted connections, overflow connections included
+	requests                  *counter.Counter         // requests for paths that the balancer does not serve itself
+	readinessChecks           *counter.Counter         // GET requests for readinessPath
+	requestsMalformed         *counter.Counter         // requests that were malformed, not allowed, too slow, or incomplete in a shutdown
+	connectionsShed           *counter.Counter         // idle connections that were closed to free a descriptor
+	overflowRejected          *counter.Counter         // requests that were rejected on overflow connections
+	shutdownRejected          *counter.Counter         // complete requests that were rejected because of a shutdown
+	acceptPauses              *counter.Counter         // calls of pauseAccepting
+	connectionsBroken         *counter.Counter         // connections that failed, whose client did not read in time, or whose response was truncated
+	requestsTimedOut          *counter.Counter         // requests whose head or body arrived too slowly
+	requestsExpired           *counter.Counter         // requests whose remaining time passed while bytes of their streamed body were unread
 	connectionsIdleClosed     *counter.Counter         // connections that were closed after a timeout without a request
 	responses                 map[int]*counter.Counter // responses by status code
 }
--- a/internal/downstream/limits.go
+++ b/internal/downstream/limits.go
@@ -35,7 +35,7 @@
 const (
 	// incompleteRequestDeadline is the deadline of a request with a streamed body, in milliseconds from the start of its exchange.
 	// When the last byte of the body has arrived, the deadline that the client has given replaces it.
-	// While the client may have sent that byte and it may not have been read, requestStream.checkDeadline limits the request.
+	// Before that, requestStream.checkDeadline ends the request if its remaining time has passed while bytes of it were unread.
 	incompleteRequestDeadline balance.Millis = 3600e3
 
 	// minDeadlineCheckInterval is the minimum interval between two checks of a request that is still being received, in milliseconds.
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -218,7 +218,7 @@
 		r.body.paused = false
 		c.startTimer(bodyProgressInterval, c.requestTimedOut)
 		if c.requestStream.active() {
-			c.requestStream.checkPaused()
+			c.requestStream.checkPaused() // comes last, as it may close the connection
 		}
 		return
 	}
--- a/internal/downstream/response.go
+++ b/internal/downstream/response.go
@@ -19,7 +19,7 @@
 func (w *responseWriter) respond(head http1.ResponseHead, body []byte) {
 	c := w.conn
 	c.checkMayRespond()
-	if c.closed() {
+	if c.closed() { // its descriptor may belong to another connection
 		return
 	}
 	if c.requestStream.abandon() {
