--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/_standin2"
 mkdir -p bin
-go build -o bin/standin2 .
+GOWORK=off go build -buildvcs=false -o bin/standin2 .
