Review: the stand-in ends its processes also when its output is closed

Cause: a script whose output was closed early was ended by SIGPIPE and left its balancer running, once. Change: the stand-in ignores SIGPIPE.

--- a/review/_standin2/harness.go
+++ b/review/_standin2/harness.go
@@ -285,6 +285,7 @@
 		}
 		code <- result
 	}()
+	signal.Ignore(syscall.SIGPIPE) // a reader of the output that has gone must not keep the processes from being ended
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
 	result := couldNot
