Review: the records of cases 6 to 10 also tell what each upstream got

Cause: the records told what clients sent and how it was answered, but what ran only in case 6, and not when the clients of case 9 sent. Change: each request that an upstream gets is recorded, and the time of sending in case 9.

--- a/review/_standin2/case_slow.go
+++ b/review/_standin2/case_slow.go
@@ -76,8 +76,9 @@
 	var readings []reading
 	get := func(class string, rate int) reading {
 		r := reading{id: newID()}
+		sent := 0.0
 		defer func() {
-			s.log("client: %s %s: status %d, %d bytes, longest wait for bytes %.3f s after %d bytes, error %v", class, r.id, r.status, r.bytes, r.gap, r.gapAt, r.err)
+			s.log("client: %s %s: sent %.4f, status %d, %d bytes, longest wait for bytes %.3f s after %d bytes, error %v", class, r.id, sent, r.status, r.bytes, r.gap, r.gapAt, r.err)
 			mu.Lock()
 			readings = append(readings, r)
 			mu.Unlock()
@@ -89,6 +90,7 @@
 		defer conn.Close()
 		conn.(*net.TCPConn).SetReadBuffer(16 << 10)
 		fmt.Fprintf(conn, "GET /%s/x HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: %s\r\nX-Lane: %s\r\nX-Remaining: 2.500\r\n\r\n", class, r.id, class)
+		sent = s.now()
 		conn.SetDeadline(end.Add(5 * time.Second))
 		var response *http.Response
 		if response, r.err = http.ReadResponse(bufio.NewReaderSize(conn, 4096), nil); r.err != nil {
--- a/review/_standin2/upstream.go
+++ b/review/_standin2/upstream.go
@@ -77,6 +77,8 @@
 		u.arrivals = append(u.arrivals, a)
 		serve := u.serve
 		u.mu.Unlock()
+		u.scene.log("%s: got %s %s, first byte %.4f, last byte %.4f, body %d bytes, key %q, told %s s", u.id, a.class, a.id, a.firstByte, a.lastByte,
+			a.body, a.key, a.remaining)
 		if serve != nil {
 			if !serve(u, c, r, a) {
 				return
