Discovery: a watch that was answered and ends is opened again without a backoff

Cause: the backoff grew with each stream that ended within 1 s of its start, also if the service had answered it. An end can stand for a change (a watch may end instead of telling), so the wait of 0.4 s and more was time in which known news was not fetched.

Fix: after a stream with a message, or with a 200 that just ended, the next stream is opened at once, at the earliest 0.1 s after the start of the last one. It works because each end is now followed by a call within 0.1 s, which is inside the grace. Calls without an answer, and first messages that are wrong, keep the backoff.

--- a/internal/discovery/helpers_test.go
+++ b/internal/discovery/helpers_test.go
@@ -68,7 +68,7 @@
 
 // serverStream is the service's side of a stream.
 type serverStream struct {
-	net.Conn
+	*net.TCPConn
 	t     *testing.T
 	since string // the revision after which the request asks for updates, "" if it asks for a snapshot
 }
--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -101,6 +101,17 @@
 	}
 }
 
+// answered reports whether the service answered the request properly before the stream failed with err: it sent a
+// message, or a response without one that just ended, as that of a resumed stream does if no endpoint changed.
+func (st *stream) answered(err error) bool {
+	if st.responsive {
+		return true
+	}
+	var protocolError *ProtocolError
+	ended := !errors.As(err, &protocolError) || protocolError.Violation == StreamEnded
+	return ended && st.decoder.Status() == statusOK
+}
+
 // Ready implements loop.Handler.
 func (st *stream) Ready(events uint32) {
 	if err := st.send(events); err != nil {
--- a/internal/discovery/subscription.go
+++ b/internal/discovery/subscription.go
@@ -18,7 +18,7 @@
 	minBackoff                = 100.0  // ms; delay of the first retry after a failure
 	maxBackoff                = 1000.0 // ms; longest delay of a retry
 	backoffFactor             = 2.0    // growth of the retry delay with each consecutive failure
-	minStreamDuration         = 1000.0 // ms; a stream that had a message and was open for longer resets the backoff
+	minStreamInterval         = 100.0  // ms from the start of a stream that the service answered to the start of the next one
 	maxStreams                = 2      // streams open at the same time: the newest, and one that timed out before it
 	readBufferBytes           = 16 << 10
 )
@@ -33,6 +33,10 @@
 // A stream that timed out stays open until the next stream receives a message, so that updates are received whichever
 // of the two streams the service sends them on. While no stream receives messages, the last endpoint list stays in
 // effect.
+//
+// The end of a stream that the service answered may stand for an update: what the service knows counts as notified, also
+// while no stream is open. The next stream is therefore opened without a backoff. Streams that were not answered, or whose
+// first message was wrong, are retried with a backoff.
 type subscription struct {
 	options  Options
 	counters *counters
@@ -87,6 +91,15 @@
 	s.backoff = min(maxBackoff, backoffFactor*s.backoff)
 }
 
+// scheduleReopen schedules the next stream after one that the service answered, at once if that one was open for
+// minStreamInterval. It replaces a scheduled retry and resets the backoff.
+func (s *subscription) scheduleReopen(answered *stream) {
+	s.stopRetryTimer()
+	s.backoff = minBackoff
+	elapsed := s.options.Loop.Now() - answered.openedAt
+	s.retryTimer = s.options.Loop.After(max(0, minStreamInterval-elapsed), s.openStream)
+}
+
 func (s *subscription) stopRetryTimer() {
 	s.options.Loop.Timers.Stop(s.retryTimer)
 	s.retryTimer = nil
@@ -114,15 +127,16 @@
 	s.openStream()
 }
 
-// onStreamFailed closes a stream that failed. If it is the newest stream, another one is opened after the backoff.
+// onStreamFailed closes a stream that failed. If it is the newest stream, it schedules the next one.
 func (s *subscription) onStreamFailed(failed *stream, err error) {
 	newest := s.streams[len(s.streams)-1] == failed
-	if failed.responsive && s.options.Loop.Now()-failed.openedAt > minStreamDuration {
-		s.backoff = minBackoff
-	}
 	failed.close()
 	s.recordFailure(err)
-	if newest {
+	switch {
+	case !newest:
+	case failed.answered(err):
+		s.scheduleReopen(failed)
+	default:
 		s.scheduleRetry()
 	}
 }
