A retry of a keyed request is not written after its deduplication window

Cause: the window was checked when the retry was decided, not when its connection came up late, nor before the rest of a request that its upstream reads slowly.

Fix: ForwardRequest.SendWithin tells until when the request may be sent; it is checked when the connection is up, when a local connect error is retried, and before each further write. It works because no byte that would complete the request is written after the window.

--- a/balance/actions.go
+++ b/balance/actions.go
@@ -6,9 +6,10 @@
 
 // ForwardRequest sends a request to an upstream as the next attempt of the request.
 type ForwardRequest struct {
-	Request  RequestID
-	Upstream UpstreamID
-	Timeout  Millis // timeout of the attempt; 0 if it may take until the client gives up
+	Request    RequestID
+	Upstream   UpstreamID
+	Timeout    Millis // timeout of the attempt; 0 if it may take until the client gives up
+	SendWithin Millis // time from now in which the whole request has to be sent, or it must not be sent; 0 for no limit
 }
 
 // RejectRequest gives a request its final response: it was not served, and it is safe to send it again.
--- a/balance/host_test.go
+++ b/balance/host_test.go
@@ -106,7 +106,7 @@
 	f.forwarded++
 	r, u := f.requests[a.Request], f.endpoints[a.Upstream]
 	f.checkForward(a, r, u)
-	f.checkRetry(r, u)
+	f.checkRetry(a, r, u)
 	attempt := &hostAttempt{upstream: a.Upstream, sentAt: f.now}
 	limit := r.expiresAt
 	if a.Timeout > 0 {
@@ -137,9 +137,13 @@
 	}
 }
 
-// checkRetry checks that a request that may have been executed may be sent again to an upstream.
-func (f *fakeHost) checkRetry(r *hostRequest, u *hostEndpoint) {
+// checkRetry checks that a request that may have been executed may be sent again to an upstream, and that the host is told
+// until when.
+func (f *fakeHost) checkRetry(a *ForwardRequest, r *hostRequest, u *hostEndpoint) {
 	first, ran := r.firstMayHaveRun()
+	if hasLimit := a.SendWithin > 0; hasLimit != (ran && r.class.Idempotency == WithIdempotencyKey) {
+		f.fail("the time in which the request %d has to be sent is %.0f ms", r.id, a.SendWithin)
+	}
 	if !ran {
 		return
 	}
@@ -147,7 +151,7 @@
 	case NonIdempotent:
 		f.fail("sends the non-idempotent request %d again", r.id)
 	case WithIdempotencyKey:
-		if f.now > first.sentAt+r.class.DeduplicationWindow {
+		if f.now+a.SendWithin > first.sentAt+r.class.DeduplicationWindow {
 			f.fail("sends the request %d with an idempotency key again after its deduplication window", r.id)
 		}
 		previous := f.endpoints[first.upstream]
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -79,11 +79,24 @@
 // and the upstream is in the deduplication scope of the first attempt.
 func (b *Balancer) deduplicates(r *request, u *upstream) bool {
 	c := r.classRules()
-	first := &r.attempts[r.firstMayHaveRun]
-	if c.Idempotency == NonIdempotent || b.now-first.sentAt >= c.DeduplicationWindow {
+	if c.Idempotency == NonIdempotent || b.deduplicationTimeLeft(r) <= 0 {
 		return false
 	}
-	return sameScope(c.DeduplicationScope, first.upstream, u)
+	return sameScope(c.DeduplicationScope, r.attempts[r.firstMayHaveRun].upstream, u)
+}
+
+// deduplicationTimeLeft returns the time until the deduplication window of a request that may have run ends.
+func (b *Balancer) deduplicationTimeLeft(r *request) Millis {
+	return r.attempts[r.firstMayHaveRun].sentAt + r.classRules().DeduplicationWindow - b.now
+}
+
+// sendWithin returns the time in which the next attempt of a request has to be sent, 0 if there is no limit.
+// Waiting for a connection must not delay a duplicate until upstreams no longer drop it.
+func (b *Balancer) sendWithin(r *request) Millis {
+	if r.firstMayHaveRun < 0 || r.classRules().Idempotency != WithIdempotencyKey {
+		return 0
+	}
+	return b.deduplicationTimeLeft(r)
 }
 
 // sameScope reports whether two upstreams are in the same deduplication scope,
@@ -122,6 +135,7 @@
 // forward sends the next attempt of a request.
 func (b *Balancer) forward(r *request, u *upstream) {
 	number := len(r.attempts)
+	sendWithin := b.sendWithin(r)
 	if number > 0 && !r.attempts[number-1].notSent {
 		b.retryBudget.count(b.window.current)
 	}
@@ -138,7 +152,12 @@
 	}
 	u.attemptsSinceTick++
 	u.slowStartTokens--
-	b.outbox.forward(ForwardRequest{Request: r.id, Upstream: u.ID, Timeout: b.attemptTimeout(r)})
+	b.outbox.forward(ForwardRequest{
+		Request:    r.id,
+		Upstream:   u.ID,
+		Timeout:    b.attemptTimeout(r),
+		SendWithin: sendWithin,
+	})
 }
 
 // attemptTimeout returns the timeout of an attempt that starts now.
--- /dev/null
+++ b/cmd/salttrack/deduplication_test.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	deduplicationWindow = time.Second
+	holdDuration        = 200 * time.Millisecond // how long the upstream holds the first attempt before it is reset
+	synRetryInterval    = time.Second            // time after which the kernel repeats a SYN that got no answer
+)
+
+// jammedListener is a listening socket whose accept queue is full, so that the kernel drops new SYNs.
+type jammedListener struct {
+	*net.TCPListener
+	fillers []net.Conn
+}
+
+// listenJammed opens a listener and fills its queue.
+func listenJammed(t *testing.T) *jammedListener {
+	t.Helper()
+	l := &jammedListener{TCPListener: listen(t).(*net.TCPListener)}
+	t.Cleanup(func() { l.Close() })
+	l.setBacklog(t, 0)
+	for range 4 {
+		c, err := net.DialTimeout("tcp", l.Addr().String(), 20*time.Millisecond)
+		if err != nil {
+			return l
+		}
+		l.fillers = append(l.fillers, c)
+	}
+	t.Fatal("the queue of the listener does not fill")
+	return nil
+}
+
+func (l *jammedListener) setBacklog(t *testing.T, connections int) {
+	t.Helper()
+	raw, err := l.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var listenError error
+	err = raw.Control(func(fd uintptr) { listenError = syscall.Listen(int(fd), connections) })
+	if err := errors.Join(err, listenError); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// clear makes room in the queue.
+func (l *jammedListener) clear(t *testing.T) {
+	t.Helper()
+	l.setBacklog(t, 16)
+	for _, filler := range l.fillers {
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+		filler.Close()
+	}
+}
+
+// resetKeyed is an upstream's handler that resets the connection of a request with an idempotency key after holdDuration,
+// and serves other requests. It closes each connection, so that the balancer has none that it could reuse.
+func resetKeyed(received chan<- time.Time) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Connection", "close")
+		if r.Header.Get("Idempotency-Key") == "" {
+			echo(w, r)
+			return
+		}
+		received <- time.Now()
+		time.Sleep(holdDuration)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}
+	}
+}
+
+// withKeyedClass makes the class "pay" one with an idempotency key, and lets connects take longer than a lost SYN.
+func withKeyedClass(config map[string]any) {
+	settings := settingsOf(config)
+	settings["limits"].(map[string]any)["connect_timeout_ms"] = 1500
+	class := classOf(settings, 1)
+	class["idempotency"] = "dedup"
+	class["group"] = "zone"
+	class["window_ms"] = deduplicationWindow.Milliseconds()
+}
+
+// Guards against a keyed request that runs twice, because its retry waits for a connection until its window has ended.
+func TestKeyedRetryIsNotSentAfterItsWindow(t *testing.T) {
+	received := make(chan time.Time, 2)
+	e := newEnvironment(t, resetKeyed(received))
+	p := start(t, e.config(withKeyedClass))
+	p.requestsToFirst(e, "read-") // fills the retry budget
+	late := listenJammed(t)
+	e.upstreams = append(e.upstreams, &fakeUpstream{id: "s-1", listener: late})
+
+	conn := p.dial()
+	fmt.Fprintf(conn, "POST /pay/x HTTP/1.1\r\nX-Txn: keyed\r\nX-Lane: pay\r\nX-Remaining: 4\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\n1")
+	first := <-received
+	e.sendUpdate(`{"revision":2,"complete":false,"members":[` + e.endpoint(1, "in_service") + `]}`)
+	time.Sleep(holdDuration + synRetryInterval/4)
+	late.clear(t)
+
+	late.SetDeadline(first.Add(2*synRetryInterval + holdDuration))
+	retry, err := late.Accept()
+	if err != nil || time.Since(first) < deduplicationWindow {
+		t.Fatalf("the connection of the retry: %v, %v after the first attempt, want one after %v", err, time.Since(first), deduplicationWindow)
+	}
+	sent, _ := io.ReadAll(io.LimitReader(retry, 1))
+	if len(sent) != 0 {
+		t.Errorf("the retry is sent %v after the first attempt, its window is %v", time.Since(first), deduplicationWindow)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || response.StatusCode != http.StatusBadGateway {
+		t.Errorf("response %v, %v, want status 502", response, err)
+	}
+	p.terminate()
+	p.expectNothingInFlight()
+}
--- a/internal/driver/actions.go
+++ b/internal/driver/actions.go
@@ -66,6 +66,9 @@
 		timeoutAt = min(timeoutAt, now+max(0, action.Timeout))
 	}
 	a := x.BeginAttempt(action.Upstream, now, timeoutAt)
+	if action.SendWithin != 0 {
+		a.SendBy = now + action.SendWithin
+	}
 	d.counters.attempts.Inc()
 	if a.Number > 0 {
 		d.counters.retries.Inc()
--- a/internal/driver/events.go
+++ b/internal/driver/events.go
@@ -76,9 +76,10 @@
 }
 
 // Sendable reports whether an attempt that was waiting for its connection may still be sent. In the meantime the client
-// may have disconnected, another attempt may have ended the exchange, or the upstream may have started to drain.
+// may have disconnected, another attempt may have ended the exchange, the upstream may have started to drain, or the
+// deduplication window of the request may have ended.
 func (d *Driver) Sendable(a *exchange.Attempt) bool {
-	return d.upstreamUsable(a.Upstream) && a.Exchange.Sendable()
+	return d.upstreamUsable(a.Upstream) && a.InSendWindow(d.now()) && a.Exchange.Sendable()
 }
 
 // ResponseStarted reports that an upstream has started a response that is too long to be buffered.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -84,6 +84,7 @@
 	Upstream        balance.UpstreamID
 	SentAt          balance.Millis // time at which the attempt began, which may be before its connection was established
 	TimeoutAt       balance.Millis // time at which the attempt times out
+	SendBy          balance.Millis // the last byte of the request must not be written at this time or later; 0 for no limit
 	RequestComplete bool           // the request was written completely, so the upstream may have executed it
 	BlockedSince    balance.Millis // since when the upstream has read nothing of the unsent part of the request; 0 if it can be sent
 	Ended           bool
@@ -168,6 +169,9 @@
 	return a
 }
 
+// InSendWindow reports whether bytes of the request may be written at a time.
+func (a *Attempt) InSendWindow(now balance.Millis) bool { return a.SendBy == 0 || now < a.SendBy }
+
 // AddUnsentAttempt adds an attempt that has ended without having been sent, because the exchange had ended.
 func (x *Exchange) AddUnsentAttempt(upstream balance.UpstreamID) *Attempt {
 	a := &Attempt{
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -41,12 +41,16 @@
 }
 
 // send writes as much of the request as the kernel's send buffer takes. It is also called when the client has sent more
-// of a streamed body.
+// of a streamed body. It ends the attempt if the time in which the request may be sent has passed.
 func (c *conn) send() {
 	if c.state == stateConnecting {
 		return
 	}
 	for p := c.request.next(); len(p) > 0; p = c.request.next() {
+		if !c.attempt.InSendWindow(c.pool.loop.Now()) { // the upstream has read the first bytes too slowly
+			c.end(c.brokenOutcome())
+			return
+		}
 		n, err := c.pool.loop.Write(c.fd, p)
 		if n > 0 {
 			c.advance(n)
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -190,6 +190,24 @@
 	r.Do(func() { r.pool.Cancel(a) })
 }
 
+// Guards against a keyed request that runs twice: a part of a retry that its upstream reads slowly is not written after the
+// deduplication window, so the upstream never has the whole request.
+func TestRestOfRequestIsNotSentAfterItsWindow(t *testing.T) {
+	r := newRig(t, manyDescriptors)
+	u := newUpstream(t, r)
+	x := exchange.New(r, &http1.Request{Method: "POST", Target: "/pay/x", ID: "77", IdempotencyKey: "k", Body: make([]byte, 8<<20)})
+	a := r.startExchange(x, longTimeout)
+	c := u.accept()
+	for blocked := false; !blocked; time.Sleep(time.Millisecond) {
+		r.Do(func() { blocked = a.BlockedSince != 0 })
+	}
+	r.Do(func() { a.SendBy = r.Loop.Now() })
+	if n, err := io.Copy(io.Discard, c.reader); err == nil && n >= 8<<20 {
+		t.Errorf("the upstream received %d bytes", n)
+	}
+	r.checkOutcome(a, "after the window", balance.ConnectFailed)
+}
+
 // The time since when the upstream has read nothing starts when the kernel's send buffer is full, and ends when it has space.
 func TestBlockedSince(t *testing.T) {
 	r := newRig(t, manyDescriptors)
