A stream takes no buffer while its reader can't pass on bytes

Cause: a stream filled its buffer also when the send buffer of its reader was full, and the bytes waited in it for as long as the peer pleased; the pool is shared by all streams.

Fix: after each write the sender asks the kernel whether there is space for more (CanWrite), and receives no more until there is. It works because a third of the send buffer is more than a buffer holds, so buffers are emptied in the turn in which they are filled. checkStall, checkProgress and BlockedSince count a full send buffer as not reading.

--- a/internal/bodystream/stream.go
+++ b/internal/bodystream/stream.go
@@ -28,6 +28,7 @@
 	state          State
 	awaitingBuffer bool   // the stream is in the pool's queue
 	bufferOffered  bool   // the pool has offered a buffer that the stream has not taken yet
+	readerBlocked  bool   // the reader can't pass on any bytes at present
 	onReadable     func() // may be nil
 	onWritable     func() // may be nil
 }
@@ -61,10 +62,23 @@
 // State returns the state of the stream.
 func (s *Stream) State() State { return s.state }
 
+// BlockReader tells that the reader can't pass on bytes at present. Until UnblockReader, the stream takes no more bytes, so
+// that a slow reader holds no buffer of the pool, which other streams may need.
+func (s *Stream) BlockReader() { s.readerBlocked = true }
+
+// UnblockReader tells that the reader can pass on bytes again. The writer is notified if the reader was blocked.
+func (s *Stream) UnblockReader() {
+	wasBlocked := s.readerBlocked
+	s.readerBlocked = false
+	if wasBlocked && s.state == Streaming && !s.awaitingBuffer {
+		s.notifyWriter()
+	}
+}
+
 // Available returns how many bytes may be written now.
 // If it returns 0 while the stream is in the state Streaming, the OnWritable function is called when there may be space again.
 func (s *Stream) Available() int {
-	if s.state != Streaming || len(s.prepended) > 0 {
+	if s.state != Streaming || len(s.prepended) > 0 || s.readerBlocked {
 		return 0
 	}
 	if s.buffer == nil {
@@ -184,7 +198,7 @@
 			s.releaseBuffer()
 		}
 	}
-	if s.state == Streaming && !s.awaitingBuffer {
+	if s.state == Streaming && !s.awaitingBuffer && !s.readerBlocked {
 		s.notifyWriter()
 	}
 }
--- a/internal/bodystream/stream_test.go
+++ b/internal/bodystream/stream_test.go
@@ -96,3 +96,19 @@
 		}
 	})
 }
+
+// Guards against streams that stand still: a stream whose reader is blocked must not hold a buffer that another one needs.
+func TestBlockedReaderHoldsNoBuffer(t *testing.T) {
+	p := NewBufferPool(1)
+	blocked, other := New(p, -1), New(p, -1)
+	notified := 0
+	blocked.OnWritable(func() { notified++ })
+	blocked.BlockReader()
+	if blocked.Available() != 0 || other.Available() == 0 {
+		t.Error("a stream whose reader is blocked takes the pool's only buffer")
+	}
+	other.Abandon()
+	if blocked.UnblockReader(); notified != 1 || blocked.Available() == 0 {
+		t.Errorf("the writer was notified %d times, want 1, or has no buffer", notified)
+	}
+}
--- a/internal/downstream/response.go
+++ b/internal/downstream/response.go
@@ -113,6 +113,7 @@
 		w.advance(n)
 		if n < len(p) {
 			w.watchWritable()
+			c.responseStream.block()
 			return false
 		}
 	}
--- a/internal/downstream/response_stream.go
+++ b/internal/downstream/response_stream.go
@@ -14,6 +14,7 @@
 	conn         *conn
 	stream       *bodystream.Stream // nil in all other states
 	encoder      *http1.BodyEncoder
+	blocked      bool           // the client has not read enough for more bytes of the response to be sent
 	lastProgress balance.Millis // time at which the kernel last accepted bytes of the response
 }
 
@@ -39,6 +40,7 @@
 	c.state = s
 	s.stream = stream
 	s.encoder = http1.NewBodyEncoder(stream, chunked)
+	s.blocked = false
 	s.lastProgress = c.server.Loop.Now()
 	stream.OnReadable(c.writer.write)
 	c.startTimer(responseWriteTimeout, s.checkProgress)
@@ -53,11 +55,26 @@
 	s.conn.writer.write()
 }
 
-// checkProgress closes a connection whose client has read nothing for responseWriteTimeout although unsent bytes are available.
+// block records that the client has not read enough for more bytes of the response to be sent. No more bytes are received
+// from the upstream until unblock is called. block has no effect if no streamed response is being written.
+func (s *responseStream) block() {
+	if s.active() {
+		s.blocked = true
+		s.stream.BlockReader()
+	}
+}
+
+// unblock records that more bytes of the response can be sent.
+func (s *responseStream) unblock() {
+	s.blocked = false
+	s.stream.UnblockReader()
+}
+
+// checkProgress closes a connection whose client has read nothing for responseWriteTimeout although more of the response may be sent.
 func (s *responseStream) checkProgress() {
 	c := s.conn
 	remaining := s.lastProgress + responseWriteTimeout - c.server.Loop.Now()
-	if remaining > 0 || len(c.writer.next()) == 0 {
+	if remaining > 0 || len(c.writer.next()) == 0 && !s.blocked {
 		c.startTimer(max(remaining, stallCheckInterval), s.checkProgress)
 		return
 	}
@@ -75,8 +92,12 @@
 		return true
 	case s.stream.State() == bodystream.Incomplete: // by the close the client detects that the response is truncated
 		c.fail(reasonResponseTruncated)
-	default:
+	case c.server.Loop.CanWrite(c.fd):
 		c.server.Loop.Watch(c.fd, loop.HangUp)
+		s.unblock()
+	default:
+		c.writer.watchWritable()
+		s.block()
 	}
 	return false
 }
--- a/internal/epoll/kernel.go
+++ b/internal/epoll/kernel.go
@@ -159,5 +159,8 @@
 // PeerClosed reports whether the peer has closed its writing side or the connection is broken.
 func (k *Kernel) PeerClosed(fd int) bool { return PeerClosed(fd) }
 
+// CanWrite reports whether a third of the kernel's send buffer is free, or the connection is broken.
+func (k *Kernel) CanWrite(fd int) bool { return CanWrite(fd) }
+
 // CloseWrite closes the writing side of a connection.
 func (k *Kernel) CloseWrite(fd int) { unix.Shutdown(fd, unix.SHUT_WR) }
--- a/internal/epoll/socket.go
+++ b/internal/epoll/socket.go
@@ -143,7 +143,15 @@
 // PeerClosed reports whether the peer has closed its writing side or the connection is broken. It also detects this
 // while there are unread bytes.
 func PeerClosed(fd int) bool {
-	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	return pollNow(fd, unix.POLLRDHUP)
+}
+
+// CanWrite reports whether a third of the kernel's send buffer is free, or the connection is broken.
+func CanWrite(fd int) bool { return pollNow(fd, unix.POLLOUT) }
+
+// pollNow reports whether one of the given events, an error or a hang-up is pending.
+func pollNow(fd int, events int16) bool {
+	poll := []unix.PollFd{{Fd: int32(fd), Events: events}}
 	for {
 		n, err := unix.Poll(poll, 0)
 		if err != unix.EINTR {
--- a/internal/loop/kernel.go
+++ b/internal/loop/kernel.go
@@ -44,6 +44,9 @@
 	// PeerClosed reports whether the peer has closed its writing side or the connection is broken. It also detects
 	// this while there are unread bytes.
 	PeerClosed(fd int) bool
+	// CanWrite reports whether the kernel's send buffer has as much space as the event Writable means. If it reports
+	// false, the event follows once there is space.
+	CanWrite(fd int) bool
 	// CloseWrite closes the writing side of a connection.
 	CloseWrite(fd int)
 }
--- a/internal/simulation/simnet/kernel.go
+++ b/internal/simulation/simnet/kernel.go
@@ -227,6 +227,15 @@
 	return s.receivedFIN || s.isReset
 }
 
+// CanWrite reports whether the window has as much space as the event loop.Writable means. If it reports false, the event
+// follows once there is space.
+func (p *Process) CanWrite(fd int) bool {
+	s := p.socketOf(fd)
+	canWrite := s.isReset || !s.connecting && s.connectionReadyEvents()&loop.Writable != 0
+	s.writeBlocked = s.writeBlocked || !canWrite
+	return canWrite
+}
+
 // CloseWrite closes the writing side of a connection.
 func (p *Process) CloseWrite(fd int) { p.socketOf(fd).closeWrite() }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -55,6 +55,7 @@
 	c.pool.active[a] = c
 	if req := requestOf(a); req.Stream != nil {
 		c.request.body = http1.NewBodyEncoder(req.Stream, req.Stream.Length < 0)
+		c.request.stream = req.Stream
 		req.Stream.OnReadable(c.send)
 	}
 	if c.state != stateConnecting {
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"salttrack/internal/bodystream"
 	"salttrack/internal/http1"
 	"salttrack/internal/loop"
 )
@@ -9,6 +10,7 @@
 type requestWriter struct {
 	buffered []byte             // the header, and the body if it is not streamed
 	body     *http1.BodyEncoder // a streamed body; nil if there is none or all of it is sent
+	stream   *bodystream.Stream // the stream that body encodes
 }
 
 // next returns the bytes to send next. It returns none if the client has not sent more of the body yet.
@@ -46,6 +48,7 @@
 	if c.state == stateConnecting {
 		return
 	}
+	written := 0
 	for p := c.request.next(); len(p) > 0; p = c.request.next() {
 		if !c.attempt.InSendWindow(c.pool.loop.Now()) { // the upstream has read the first bytes too slowly
 			c.end(c.brokenOutcome())
@@ -60,20 +63,37 @@
 			return
 		}
 		if n < len(p) {
-			c.markBlocked(n)
-			c.pool.loop.Watch(c.fd, loop.Readable|loop.Writable|loop.HangUp)
+			c.waitUntilWritable(n)
 			return
 		}
+		written += n
 	}
-	c.attempt.BlockedSince = 0
 	c.request.buffered = nil
 	if c.request.body != nil && c.request.body.Done() {
 		c.request.body = nil
 	}
-	if c.request.body == nil {
+	switch {
+	case c.request.body == nil:
 		c.attempt.RequestComplete = true
+	case !c.pool.loop.CanWrite(c.fd):
+		c.waitUntilWritable(written)
+		return
 	}
+	c.attempt.BlockedSince = 0
 	c.pool.loop.Watch(c.fd, loop.Readable|loop.HangUp)
+	if c.request.body != nil {
+		c.request.stream.UnblockReader()
+	}
+}
+
+// waitUntilWritable waits until the upstream has read enough for more of the request to be sent, after n bytes were written.
+// Meanwhile no more of a streamed body is received from the client.
+func (c *conn) waitUntilWritable(n int) {
+	c.markBlocked(n)
+	c.pool.loop.Watch(c.fd, loop.Readable|loop.Writable|loop.HangUp)
+	if c.request.body != nil {
+		c.request.stream.BlockReader()
+	}
 }
 
 // markBlocked records that the kernel's send buffer is full after n more bytes were written.
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -54,7 +54,7 @@
 		}
 		// Flush returns the buffer that Available may have taken. It comes last, as it may end the attempt.
 		defer c.stream.Flush()
-	case len(c.request.next()) > 0:
+	case len(c.request.next()) > 0 || c.attempt.BlockedSince != 0:
 	case c.request.body != nil: // the client has not sent more, so the upstream is not stalled
 		c.lastProgress = now
 	default: // the whole request was sent, so the timeout of the attempt applies
