A long response that is still being sent is not cut off at the attempt's timeout

Cause: a response is streamed after 64 KiB, and if its length is unknown it keeps the attempt's timeout until then, which did not ask whether the upstream was still sending.

Fix: when an attempt times out while a 200 of unknown length is being sent (a byte within the last second), it is streamed from then on. It works as the first bytes of a long answer are timed, not its last. At the deadline of a shutdown the attempt ends as before.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -21,6 +21,9 @@
 	Start(*exchange.Attempt)
 	// Cancel aborts an attempt and closes its connection. The end of the attempt is not reported.
 	Cancel(*exchange.Attempt)
+	// StreamResponse starts to stream the response of an attempt to the client, although it may turn out to be short. It
+	// reports whether it did: only a response of unknown length that the upstream is still sending is streamed.
+	StreamResponse(*exchange.Attempt) bool
 	// CancelUnsent ends the attempts that are waiting for a connection to an upstream, reports them with the outcome
 	// balance.NotSent, and closes the idle connections to that upstream.
 	CancelUnsent(balance.UpstreamID)
--- a/internal/driver/helpers_test.go
+++ b/internal/driver/helpers_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"salttrack/balance"
+	"salttrack/internal/bodystream"
 	"salttrack/internal/counter"
 	"salttrack/internal/exchange"
 	"salttrack/internal/timer"
@@ -34,6 +35,7 @@
 	cancelled    []*exchange.Attempt  // arguments of the calls of Cancel
 	cancelUnsent []balance.UpstreamID // arguments of the calls of CancelUnsent
 	responses    map[*exchange.Exchange][]exchange.Response
+	stillSending bool // whether upstreams are sending responses of unknown length
 	disconnected bool // whether all clients have disconnected; the driver learns of it when it calls Connected
 
 	onStart        func(*exchange.Attempt) // called in place of Start's normal behavior unless nil
@@ -100,6 +102,15 @@
 	f.remove(a)
 }
 
+// StreamResponse implements Upstreams.
+func (f *fixture) StreamResponse(a *exchange.Attempt) bool {
+	if !f.stillSending {
+		return false
+	}
+	f.driver.ResponseStarted(a, bodystream.New(bodystream.NewBufferPool(1), -1))
+	return true
+}
+
 // Connected implements exchange.Client. It reports a disconnection to the driver before it returns false.
 func (f *fixture) Connected(x *exchange.Exchange) bool {
 	if f.disconnected {
--- a/internal/driver/timeouts.go
+++ b/internal/driver/timeouts.go
@@ -9,7 +9,16 @@
 func (d *Driver) setTimeout(a *exchange.Attempt, at balance.Millis) {
 	a.TimeoutAt = at
 	d.timers.Stop(d.attemptTimeouts[a])
-	d.attemptTimeouts[a] = d.timers.Set(at, func() { d.stopAttempt(a, balance.TimedOut) })
+	d.attemptTimeouts[a] = d.timers.Set(at, func() { d.attemptTimedOut(a) })
+}
+
+// attemptTimedOut ends an attempt whose time has passed. If its upstream is still sending a response that may be a long
+// one, the response is streamed from now on instead: a long response is in time if its first bytes are.
+func (d *Driver) attemptTimedOut(a *exchange.Attempt) {
+	if d.now() < d.shutdownDeadline && d.upstreams.StreamResponse(a) {
+		return
+	}
+	d.stopAttempt(a, balance.TimedOut)
 }
 
 // clearTimeout removes the timeout of an attempt, if it has one.
--- a/internal/driver/timeouts_test.go
+++ b/internal/driver/timeouts_test.go
@@ -71,3 +71,27 @@
 		}
 	}
 }
+
+// Guards against long responses that are cut off: one that is still being sent when its attempt times out is streamed, except
+// at the shutdown deadline, after which the program exits.
+func TestResponseBeingSentAtTimeout(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		shutdown bool
+		want     exchange.Disposition
+	}{
+		{"in operation", false, exchange.Served},
+		{"at the shutdown deadline", true, exchange.Failed},
+	} {
+		f := newFixture(t, testConfig())
+		f.stillSending = true
+		x := f.receive(nonIdempotentClass, 600)
+		if tt.shutdown {
+			f.driver.SetShutdownDeadline(f.now + 500)
+		}
+		f.advance(1000)
+		if f.disposition(x) != tt.want {
+			t.Errorf("%s: responses %+v, want %v", tt.name, f.responses[x], tt.want)
+		}
+	}
+}
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -87,6 +87,11 @@
 // Status returns the status code of the response that is being decoded, 0 before the status line is complete.
 func (d *ResponseDecoder) Status() int { return d.response.Status }
 
+// HasPartOfUnknownLength reports whether a part of a body has been received whose length is not known before its end.
+func (d *ResponseDecoder) HasPartOfUnknownLength() bool {
+	return d.InBody() && d.framing.contentLength < 0 && d.bodyBytes > 0
+}
+
 // Response returns the decoded response. The Body of a streamed response is empty.
 func (d *ResponseDecoder) Response() Response {
 	d.response.Body = d.body
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -39,7 +39,7 @@
 	// The following four fields are used in stateActive.
 	decoder      *http1.ResponseDecoder
 	stream       *bodystream.Stream // body of a streamed response, nil if the response is not streamed
-	lastProgress balance.Millis     // when streamed bytes were last transferred or the client was last waited for
+	lastProgress balance.Millis     // when bytes of a response or a streamed body were last transferred, or the client was waited for
 	reusable     bool               // the response is complete and no bytes were received after it
 
 	idle idleState
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -71,8 +71,8 @@
 		c.complete()
 		return
 	}
+	c.lastProgress = c.pool.loop.Now()
 	if c.stream != nil {
-		c.lastProgress = c.pool.loop.Now()
 		c.stream.Flush()
 	}
 }
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -3,6 +3,7 @@
 import (
 	"salttrack/balance"
 	"salttrack/internal/bodystream"
+	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
 	"salttrack/internal/loop"
 )
@@ -11,7 +12,22 @@
 // request that has bytes to send. It replaces the timeout of the attempt, which does not apply to them.
 const stallTimeout balance.Millis = 10000
 
-// startStream starts streaming a response that is too large to be buffered completely, and reports whether the attempt
+// maxResponsePause is the longest time since an upstream sent the last byte of a response for which it still counts as
+// sending. Clients count a response as cut off or stalled after 2 s.
+const maxResponsePause balance.Millis = 1000
+
+// StreamResponse starts to stream the response of an attempt, if its length is not known and its upstream is still
+// sending it. It reports whether it did.
+func (p *Pool) StreamResponse(a *exchange.Attempt) bool {
+	c := p.active[a]
+	if c == nil || c.state != stateActive || c.stream != nil || !c.request.sent() {
+		return false
+	}
+	sending := c.decoder.HasPartOfUnknownLength() && p.loop.Now()-c.lastProgress <= maxResponsePause
+	return sending && c.decoder.Status() == http1.StatusOK && c.startStream()
+}
+
+// startStream starts streaming a response that may be too large to be buffered completely, and reports whether the attempt
 // continues. A response with a status other than 200 ends the attempt without its body.
 func (c *conn) startStream() bool {
 	if c.decoder.Status() != http1.StatusOK || !c.request.sent() {
