Buffered bodies of all connections together stay within a quarter of the memory

Cause: only the buffers of streamed bodies were limited together. Buffered bodies of up to 64 KiB (their buffers doubled), the received part of longer ones and pipelined bytes were limited for each connection alone. The decoder also kept the body of a rejected request.

Fix: BufferBudget counts them. While a quarter of the memory is used, incomplete bodies over 4 KiB are streamed and 4 KiB are read at once. It works as the rest then waits in the kernels. Sent parts of responses are released. New gauge: buffered_bytes, 0 after each test.

--- a/internal/bodystream/stream.go
+++ b/internal/bodystream/stream.go
@@ -22,6 +22,7 @@
 
 	pool           *BufferPool
 	prepended      []byte // bytes that were received before the stream was created; they are read first
+	onPrependedEnd func() // is called once when prepended is read or discarded
 	buffer         []byte // borrowed from the pool; nil while the stream has no unread bytes in it
 	start          int    // index of the first unread byte in buffer
 	end            int    // index after the last unread byte in buffer
@@ -36,8 +37,23 @@
 // New returns a stream for a body of the given length in bytes, -1 if unknown.
 func New(p *BufferPool, length int64) *Stream { return &Stream{Length: length, pool: p} }
 
-// Prepend sets the part of the body that was received before the stream was created. The stream takes ownership of p.
-func (s *Stream) Prepend(p []byte) { s.prepended = p }
+// Prepend sets the part of the body that was received before the stream was created. The stream takes ownership of p, and calls
+// the function once p is read or discarded.
+func (s *Stream) Prepend(p []byte, end func()) {
+	s.prepended = p
+	s.onPrependedEnd = end
+	if len(p) == 0 {
+		s.endPrepended()
+	}
+}
+
+func (s *Stream) endPrepended() {
+	s.prepended = nil
+	if end := s.onPrependedEnd; end != nil {
+		s.onPrependedEnd = nil
+		end()
+	}
+}
 
 // OnWritable sets the function that is called when Available may return more than before,
 // or when the reader has abandoned the stream.
@@ -171,7 +187,7 @@
 
 // discard drops the unread bytes but keeps the buffer.
 func (s *Stream) discard() {
-	s.prepended = nil
+	s.endPrepended()
 	s.start = 0
 	s.end = 0
 }
@@ -191,7 +207,7 @@
 		if len(s.prepended) > 0 {
 			return
 		}
-		s.prepended = nil
+		s.endPrepended()
 	} else {
 		s.start += n
 		if s.start == s.end {
--- a/internal/bodystream/stream_test.go
+++ b/internal/bodystream/stream_test.go
@@ -21,7 +21,7 @@
 	s.OnWritable(func() { s.writable = true })
 	prepended := rapid.SliceOfN(rapid.Byte(), 0, 5).Draw(t, "prepended")
 	if len(prepended) > 0 {
-		s.Prepend(prepended)
+		s.Prepend(prepended, nil)
 		s.written = bytes.Clone(prepended)
 	}
 	return s
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -52,6 +52,7 @@
 	c := &conn{server: s, fd: fd}
 	c.reader.conn = c
 	c.reader.decoder = http1.NewRequestDecoder()
+	c.reader.decoder.LimitBuffer(s.Budget)
 	c.requestStream.conn = c
 	c.pending.conn = c
 	c.writer.conn = c
@@ -149,6 +150,7 @@
 		c.server.Trace.Write(trace.ConnectionClosed, trace.Event{Connection: c.fd, Request: c.pending.requestID(), Reason: reason})
 	}
 	c.stopReading()
+	c.reader.release()
 	c.requestStream.stopDeadlineCheck()
 	c.server.Loop.Close(c.fd)
 	c.unregister()
--- a/internal/downstream/golden_test.go
+++ b/internal/downstream/golden_test.go
@@ -91,7 +91,7 @@
 		c.send(tt.in)
 		x := s.nextExchange()
 		stream := bodystream.New(s.server.Buffers, tt.length)
-		stream.Prepend([]byte(first))
+		stream.Prepend([]byte(first), nil)
 		s.Do(func() { x.Respond(exchange.Response{Disposition: exchange.Served, Stream: stream}) })
 		for written := false; !written; {
 			s.Do(func() {
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -20,7 +20,8 @@
 	lastActivity balance.Millis // time at which bytes were last received or the connection became idle
 	receivedAt   balance.Millis // earliest time at which the bytes that are being decoded may have arrived
 	requestCount int            // number of requests that have been dispatched
-	unread       []byte         // bytes that were received after the last request and have not been decoded yet
+	unread       []byte         // bytes that were received after the last request and have not been decoded yet; see setUnread
+	unreadMemory int            // bytes of memory that unread keeps in use
 	resuming     bool           // a call of resume is running
 	body         bodyProgress
 
@@ -68,7 +69,7 @@
 	c := r.conn
 	count := r.requestCount
 	for i := 0; i < maxReadsPerTurn && r.listElement != nil && r.requestCount == count; i++ {
-		n, err := c.server.Loop.Read(c.fd, c.server.readBuffer)
+		n, err := c.server.Loop.Read(c.fd, c.server.Budget.ReadBuffer(c.server.readBuffer))
 		switch {
 		case err == unix.EAGAIN:
 			return
@@ -92,9 +93,9 @@
 	}
 	r.resuming = true
 	for len(r.unread) > 0 && r.listElement != nil {
-		p := r.unread
-		r.unread = nil
-		r.decodeOwned(p)
+		p, memory := r.unread, r.unreadMemory
+		r.setUnread(nil, 0)
+		r.decodeOwned(p, memory)
 	}
 	r.resuming = false
 }
@@ -102,19 +103,35 @@
 // decodeShared decodes bytes in the server's read buffer. It copies the bytes after a complete request, since the buffer is reused.
 func (r *requestReader) decodeShared(p []byte) {
 	if n, complete := r.decode(p); complete {
-		r.unread = bytes.Clone(p[n:])
+		r.setUnread(bytes.Clone(p[n:]), len(p)-n)
 		r.dispatch()
 	}
 }
 
-// decodeOwned decodes bytes that the connection owns. It does not copy the bytes after a complete request.
-func (r *requestReader) decodeOwned(p []byte) {
+// decodeOwned decodes bytes that the connection owns. It does not copy the bytes after a complete request, which keep the whole
+// memory in use.
+func (r *requestReader) decodeOwned(p []byte, memory int) {
 	if n, complete := r.decode(p); complete {
-		r.unread = p[n:]
+		r.setUnread(p[n:], memory)
 		r.dispatch()
 	}
 }
 
+// setUnread replaces the bytes that have not been decoded yet. It counts the memory that they keep in use against the budget.
+func (r *requestReader) setUnread(p []byte, memory int) {
+	if len(p) == 0 {
+		p, memory = nil, 0
+	}
+	r.conn.server.Budget.Add(memory - r.unreadMemory)
+	r.unread, r.unreadMemory = p, memory
+}
+
+// release returns the memory of a connection that is closed to the budget.
+func (r *requestReader) release() {
+	r.setUnread(nil, 0)
+	r.decoder.ReleaseBody()
+}
+
 // decode decodes bytes of a request.
 // It returns the number of bytes consumed, and whether the request is complete and has to be dispatched by the caller.
 func (r *requestReader) decode(p []byte) (n int, complete bool) {
--- a/internal/downstream/request_stream.go
+++ b/internal/downstream/request_stream.go
@@ -145,7 +145,7 @@
 	stream := s.detach()
 	x := c.pending.exchange
 	c.state = &c.pending
-	c.reader.unread = following
+	c.reader.setUnread(following, len(following))
 	c.stopTimer()
 	c.server.Loop.Watch(c.fd, loop.HangUp)
 	c.startDeadline(x, x.Message.(*http1.Request))
--- a/internal/downstream/response.go
+++ b/internal/downstream/response.go
@@ -1,6 +1,8 @@
 package downstream
 
 import (
+	"bytes"
+
 	"salttrack/internal/http1"
 	"salttrack/internal/invariant"
 	"salttrack/internal/loop"
@@ -26,6 +28,7 @@
 		head.Close = true
 		c.linger.timeout = incompleteRequestLinger
 	}
+	c.reader.decoder.ReleaseBody()
 	w.closeAfter = w.closeAfter || head.Close || c.shouldClose()
 	head.Close = w.closeAfter
 	c.server.counters.responses[head.Status].Inc()
@@ -125,6 +128,9 @@
 	stream := &w.conn.responseStream
 	if len(w.unsent) > 0 {
 		w.unsent = w.unsent[n:]
+		if 0 < len(w.unsent) && len(w.unsent) <= n { // a client that reads slowly must not keep the memory of the sent part in use
+			w.unsent = bytes.Clone(w.unsent)
+		}
 	} else {
 		stream.encoder.Advance(n)
 	}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -15,6 +15,7 @@
 	"salttrack/internal/bodystream"
 	"salttrack/internal/counter"
 	"salttrack/internal/exchange"
+	"salttrack/internal/http1"
 	"salttrack/internal/loop"
 	"salttrack/internal/shutdown"
 	"salttrack/internal/timer"
@@ -44,6 +45,7 @@
 	OverflowLimit int // maximum number of overflow connections
 	Counters      *counter.Set
 	Buffers       *bodystream.BufferPool // buffers for streamed bodies
+	Budget        *http1.BufferBudget    // limits the buffered bodies of requests; nil for no limit
 	Synced        func() bool            // reports whether the endpoint list and the overrides are known
 	Trace         *trace.Tracer          // nil disables tracing
 	// OnPhase is called when a phase of the shutdown begins, with the number of open connections. It may be nil.
--- /dev/null
+++ b/internal/http1/buffer_budget_test.go
@@ -0,0 +1,57 @@
+package http1
+
+import (
+	"strings"
+	"testing"
+)
+
+// Guards against more memory than the limit: bodies that are buffered together are limited by a budget. The one that exceeds it
+// is streamed, and all memory is returned when the bodies end.
+func TestBufferBudget(t *testing.T) {
+	const length = 40 << 10
+	head := "POST /pay/x HTTP/1.1\r\nContent-Length: 40960\r\n\r\n"
+	budget := NewBufferBudget(2 * length)
+	var decoders []*RequestDecoder
+	for n := range 4 {
+		d := NewRequestDecoder()
+		d.LimitBuffer(budget)
+		decoders = append(decoders, d)
+		if _, err := d.Feed([]byte(head + strings.Repeat("a", length-1))); err != nil {
+			t.Fatal(err)
+		}
+		if streams, want := d.NeedsStreaming(), n >= 2; streams != want {
+			t.Errorf("body %d is streamed: %v, want %v", n, streams, want)
+		}
+		if d.NeedsStreaming() {
+			_, release := d.StreamBodyTo(func([]byte) {})
+			release()
+		}
+		if _, err := d.Feed([]byte("a")); err != nil || !d.Complete() {
+			t.Errorf("body %d is incomplete: %v", n, err)
+		}
+	}
+	if budget.Used() > budget.limit {
+		t.Errorf("%d bytes are buffered, the limit is %d", budget.Used(), budget.limit)
+	}
+	decoders[0].Reset()
+	for _, d := range decoders[1:] {
+		d.ReleaseBody()
+	}
+	if budget.Used() != 0 {
+		t.Errorf("%d bytes are not returned", budget.Used())
+	}
+}
+
+// While the budget is used up, a body that is complete or short is buffered nevertheless: streaming it would save no memory.
+func TestBufferBudgetOfShortBodies(t *testing.T) {
+	for _, request := range []string{
+		"POST /pay/x HTTP/1.1\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("a", 20000),
+		"POST /pay/x HTTP/1.1\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("a", minStreamedBodyBytes),
+	} {
+		d := NewRequestDecoder()
+		d.LimitBuffer(NewBufferBudget(0))
+		if _, err := d.Feed([]byte(request)); err != nil || d.NeedsStreaming() {
+			t.Errorf("a body of which %d bytes are received is streamed, or %v", d.bodyBytes, err)
+		}
+	}
+}
--- a/internal/http1/decoder.go
+++ b/internal/http1/decoder.go
@@ -48,7 +48,9 @@
 	remaining     int64              // bytes that are missing of a body with Content-Length, or of the current chunk
 	bodyBytes     int64              // bytes received of the body; not counted if there is a sink
 	body          []byte             // buffered body
+	budget        *BufferBudget      // counts the capacity of body; nil for no limit
 	exceedsBuffer bool               // the body exceeds MaxBufferedBodyBytes
+	overBudget    bool               // the body was not short when the budget was exceeded
 	sink          func([]byte) error // if not nil, receives the whole body of every message, of any length, in place of body
 	stream        func([]byte)       // if not nil, receives the rest of a streamed body in place of body
 }
@@ -61,8 +63,10 @@
 	if cap(d.partialLine) > maxRetainedLineBytes {
 		d.partialLine = nil
 	}
+	d.ReleaseBody()
 	*d = decoder{
 		partialLine: d.partialLine[:0],
+		budget:      d.budget,
 		sink:        d.sink,
 		strictLines: d.strictLines,
 		framing:     framing{contentLength: -1},
@@ -80,20 +84,32 @@
 // InBody reports whether the head is complete and the body is incomplete.
 func (d *decoder) InBody() bool { return d.state > stateFields && d.state != stateComplete }
 
-// NeedsStreaming reports whether the body exceeds MaxBufferedBodyBytes and is not streamed yet.
-// The caller has to call StreamBodyTo before it feeds more bytes.
-func (d *decoder) NeedsStreaming() bool { return d.exceedsBuffer && d.stream == nil }
+// LimitBuffer counts the buffered bodies of the decoder against a budget, nil for no limit. It is called before the first Feed.
+func (d *decoder) LimitBuffer(budget *BufferBudget) { d.budget = budget }
+
+// NeedsStreaming reports whether the body is not streamed yet, although it exceeds MaxBufferedBodyBytes, or is incomplete and
+// exceeds the budget. The caller has to call StreamBodyTo before it feeds more bytes.
+func (d *decoder) NeedsStreaming() bool {
+	return d.stream == nil && (d.exceedsBuffer || d.overBudget && !d.Complete())
+}
 
 // ContentLength returns the value of the field Content-Length in bytes, -1 if the message has none.
 func (d *decoder) ContentLength() int64 { return d.framing.contentLength }
 
 // StreamBodyTo makes the decoder pass the rest of the body to a function as it is received.
-// It returns the bytes of the body that have been received before.
-func (d *decoder) StreamBodyTo(stream func([]byte)) (received []byte) {
+// It returns the bytes of the body that have been received before, and a function that returns their memory to the budget.
+func (d *decoder) StreamBodyTo(stream func([]byte)) (received []byte, release func()) {
 	received = d.body
 	d.body = nil
 	d.stream = stream
-	return received
+	budget, memory := d.budget, cap(received)
+	return received, func() { budget.Add(-memory) }
+}
+
+// ReleaseBody removes the buffered body from the decoder, and from the budget. A decoder that is no longer used must not keep one.
+func (d *decoder) ReleaseBody() {
+	d.budget.Add(-cap(d.body))
+	d.body = nil
 }
 
 // feed decodes bytes until the message is complete. It returns the number of bytes consumed.
@@ -147,11 +163,28 @@
 	if d.stream != nil {
 		d.stream(p)
 	} else {
-		d.body = append(d.body, p...)
+		d.bufferBody(p)
 	}
 	return nil
 }
 
+// bufferBody appends bytes to the buffered body. The buffer grows with the received bytes and not with the announced ones.
+func (d *decoder) bufferBody(p []byte) {
+	length := len(d.body) + len(p)
+	if length > cap(d.body) {
+		largest := MaxBufferedBodyBytes
+		if d.framing.contentLength >= 0 {
+			largest = int(min(d.framing.contentLength, MaxBufferedBodyBytes))
+		}
+		grown := make([]byte, len(d.body), max(length, min(2*cap(d.body), largest)))
+		copy(grown, d.body)
+		d.budget.Add(cap(grown) - cap(d.body))
+		d.body = grown
+	}
+	d.body = append(d.body, p...)
+	d.overBudget = d.overBudget || length > minStreamedBodyBytes && d.budget.exceeded()
+}
+
 // feedLine decodes bytes of one line and parses the line when it is complete.
 func (d *decoder) feedLine(p []byte, h headParser) (int, error) {
 	end := bytes.IndexByte(p, '\n')
--- a/internal/http1/golden_test.go
+++ b/internal/http1/golden_test.go
@@ -56,7 +56,7 @@
 		{"chunked", -1, "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n4\r\nrest\r\n0\r\n\r\n"},
 	} {
 		stream := bodystream.New(bodystream.NewBufferPool(1), tt.length)
-		stream.Prepend([]byte("first"))
+		stream.Prepend([]byte("first"), nil)
 		r := Request{Method: "POST", Target: "/pay", ID: "1", Class: "pay", Stream: stream}
 		got := string(AppendRequest(nil, &r, "h:1", 1500))
 		b := NewBodyEncoder(stream, tt.length < 0)
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -73,10 +73,11 @@
 // Request returns the decoded request.
 // It may be called when the request is complete, or, if the body is streamed, when the head is complete.
 func (d *RequestDecoder) Request() Request {
-	d.request.Body = d.body
-	d.request.Close = d.persistence.closes()
-	d.request.HTTP10 = d.persistence.minorVersion == 0
-	return d.request
+	r := d.request
+	r.Body = d.body
+	r.Close = d.persistence.closes()
+	r.HTTP10 = d.persistence.minorVersion == 0
+	return r
 }
 
 func (d *RequestDecoder) startLine(line []byte) error {
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -94,9 +94,10 @@
 
 // Response returns the decoded response. The Body of a streamed response is empty.
 func (d *ResponseDecoder) Response() Response {
-	d.response.Body = d.body
-	d.response.Close = d.response.Close || d.persistence.closes()
-	return d.response
+	r := d.response
+	r.Body = d.body
+	r.Close = r.Close || d.persistence.closes()
+	return r
 }
 
 func (d *ResponseDecoder) startLine(line []byte) error {
--- a/internal/http1/streaming_test.go
+++ b/internal/http1/streaming_test.go
@@ -12,7 +12,7 @@
 	NeedsStreaming() bool
 	Complete() bool
 	ContentLength() int64
-	StreamBodyTo(func([]byte)) []byte
+	StreamBodyTo(func([]byte)) (received []byte, release func())
 }
 
 // A streamed body has to be passed on unchanged for every framing and wherever the input is split,
@@ -52,7 +52,8 @@
 					}
 				}
 				if d.NeedsStreaming() {
-					got = append(got, d.StreamBodyTo(func(q []byte) { got = append(got, q...) })...)
+					received, _ := d.StreamBodyTo(func(q []byte) { got = append(got, q...) })
+					got = append(got, received...)
 				}
 				notConsumed += len(p) - n
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"salttrack/internal/discovery"
 	"salttrack/internal/downstream"
 	"salttrack/internal/driver"
+	"salttrack/internal/http1"
 	"salttrack/internal/invariant"
 	"salttrack/internal/loop"
 	"salttrack/internal/settings"
@@ -38,16 +39,17 @@
 	log      *logrus.Entry
 	started  balance.Millis
 
-	loop        *loop.Loop
-	bodyBuffers *bodystream.BufferPool
-	descriptors *loop.DescriptorLimiter
-	registry    *discovery.Registry
-	endpoints   *discovery.Watcher
-	driver      *driver.Driver
-	server      *downstream.Server
-	pool        *upstream.Pool
-	admin       *admin.Server // nil if no admin server is configured
-	peers       *peerSync     // nil if hot restart is disabled
+	loop         *loop.Loop
+	bodyBuffers  *bodystream.BufferPool
+	bufferBudget *http1.BufferBudget
+	descriptors  *loop.DescriptorLimiter
+	registry     *discovery.Registry
+	endpoints    *discovery.Watcher
+	driver       *driver.Driver
+	server       *downstream.Server
+	pool         *upstream.Pool
+	admin        *admin.Server // nil if no admin server is configured
+	peers        *peerSync     // nil if hot restart is disabled
 
 	listening    bool // whether the balancer listens for clients
 	shuttingDown bool
@@ -73,6 +75,7 @@
 	r := c.splitResources(fullShare)
 	n.descriptors = loop.NewDescriptorLimiter(r.connections)
 	n.bodyBuffers = bodystream.NewBufferPool(r.bodyBuffers)
+	n.bufferBudget = http1.NewBufferBudget(r.bufferedBytes)
 	n.endpoints = discovery.NewWatcher(discovery.Options{
 		Loop:     l,
 		Address:  c.Discovery,
@@ -98,6 +101,7 @@
 		OverflowLimit: r.overflowConnections,
 		Counters:      &n.Counters,
 		Buffers:       n.bodyBuffers,
+		Budget:        n.bufferBudget,
 		Synced:        n.synced,
 		Trace:         n.Trace,
 		OnPhase:       n.logShutdownPhase,
@@ -107,6 +111,7 @@
 		Loop:           n.loop,
 		Descriptors:    n.descriptors,
 		Buffers:        n.bodyBuffers,
+		Budget:         n.bufferBudget,
 		Counters:       &n.Counters,
 		ConnectTimeout: n.settings.ConnectTimeout,
 		KeepAlive:      n.settings.KeepAlive,
@@ -131,6 +136,7 @@
 	n.reloads = n.Counters.New("config_reloads")
 	n.failedReloads = n.Counters.New("config_reloads_failed")
 	n.Counters.Gauge("body_buffers_in_use", func() uint64 { return uint64(n.bodyBuffers.InUse()) })
+	n.Counters.Gauge("buffered_bytes", func() uint64 { return uint64(n.bufferBudget.Used()) })
 	n.Counters.Gauge("connections_open", func() uint64 { return uint64(n.descriptors.InUse()) })
 	n.Counters.Gauge("invariant_violations", invariant.Violations)
 }
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -9,6 +9,7 @@
 	maxAdminDescriptors    = 64    // descriptors of the admin server, for its listening socket and its connections
 	minConnections         = 8     // connections to clients and upstreams that are allowed under any limit
 	bodyBufferShare        = 0.125 // share of the memory that is used for buffers of streamed bodies
+	bufferedShare          = 0.25  // share of the memory that is used for bodies that are buffered as a whole
 )
 
 // Divisors of the configured number of descriptors.
@@ -30,6 +31,7 @@
 	overflowConnections int // additional client connections, whose requests are rejected unless another descriptor becomes free
 	adminDescriptors    int // descriptors of the admin server, 0 if there is none
 	bodyBuffers         int // buffers of streamed bodies
+	bufferedBytes       int // memory of bodies that are buffered as a whole
 }
 
 // maxAdminConnections returns the maximum number of connections of the admin server. One descriptor is for its listening socket.
@@ -38,9 +40,11 @@
 // splitResources divides a share of the configured limits between the components.
 func (c *Config) splitResources(share float64) resources {
 	descriptors := int(share * float64(c.Limits.Sockets))
+	memory := share * c.Limits.MemoryMB * (1 << 20)
 	r := resources{
 		overflowConnections: min(maxOverflowConnections, descriptors/overflowDivisor),
-		bodyBuffers:         int(share * c.Limits.MemoryMB * bodyBufferShare * (1 << 20) / bodystream.BufferSize),
+		bodyBuffers:         int(memory * bodyBufferShare / bodystream.BufferSize),
+		bufferedBytes:       int(memory * bufferedShare),
 	}
 	if c.Admin.IsValid() {
 		r.adminDescriptors = min(maxAdminDescriptors, descriptors/adminDivisor)
@@ -59,4 +63,5 @@
 	}
 	n.descriptors.SetLimit(r.connections)
 	n.bodyBuffers.SetLimit(r.bodyBuffers)
+	n.bufferBudget.SetLimit(r.bufferedBytes)
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -146,6 +146,7 @@
 	}
 	c.leaveIdle()
 	c.stopTimer()
+	c.decoder.ReleaseBody()
 	p.loop.Close(c.fd)
 	p.quota.Release()
 	invariant.Check(p.quota.InUse() >= len(p.active)+p.idle.Len(), "each connection has a descriptor of the quota")
--- a/internal/upstream/connect.go
+++ b/internal/upstream/connect.go
@@ -53,6 +53,7 @@
 		state:    stateConnecting,
 		decoder:  http1.NewResponseDecoder(nil),
 	}
+	c.decoder.LimitBuffer(p.budget)
 	if err := p.loop.Add(fd, loop.Readable|loop.Writable|loop.HangUp, c); err != nil {
 		p.loop.Close(fd)
 		return nil, err
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,6 +13,7 @@
 	"salttrack/internal/bodystream"
 	"salttrack/internal/counter"
 	"salttrack/internal/exchange"
+	"salttrack/internal/http1"
 	"salttrack/internal/loop"
 	"salttrack/internal/trace"
 )
@@ -40,6 +41,7 @@
 	Loop           *loop.Loop
 	Descriptors    *loop.DescriptorLimiter
 	Buffers        *bodystream.BufferPool
+	Budget         *http1.BufferBudget // limits the buffered bodies of responses; nil for no limit
 	Counters       *counter.Set
 	ConnectTimeout balance.Millis
 	KeepAlive      balance.Millis // time after which upstreams close idle connections
@@ -51,6 +53,7 @@
 type Pool struct {
 	loop     *loop.Loop
 	buffers  *bodystream.BufferPool
+	budget   *http1.BufferBudget
 	quota    *loop.DescriptorQuota // has one descriptor for each connection and each pending connect
 	listener AttemptListener
 	trace    *trace.Tracer
@@ -88,6 +91,7 @@
 	p := &Pool{
 		loop:       o.Loop,
 		buffers:    o.Buffers,
+		budget:     o.Budget,
 		trace:      o.Trace,
 		endpoints:  map[balance.UpstreamID]*endpoint{},
 		active:     map[*exchange.Attempt]*conn{},
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -27,7 +27,7 @@
 // with brokenOutcome, whatever the incomplete response contains.
 func (c *conn) receive() {
 	for i := 0; i < maxReadsPerTurn && c.state == stateActive; i++ {
-		buffer := c.pool.readBuffer
+		buffer := c.pool.budget.ReadBuffer(c.pool.readBuffer)
 		if c.stream != nil {
 			available := c.stream.Available()
 			if available == 0 { // the client reads more slowly than the upstream sends
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -95,7 +95,7 @@
 	if bodySize > 0 {
 		request.Stream = stream
 		x.BodyIncomplete = true
-		stream.Prepend(make([]byte, bodySize))
+		stream.Prepend(make([]byte, bodySize), nil)
 	}
 	return x, stream
 }
