A request that may have run is not run again when its id comes again

Cause: an id was known only while its request had no response, and only to its process.

A repeated id gets 409. It works as the id is set before the first attempt, and is removed only if the request has certainly not run.

--- a/cmd/salttrack/main.go
+++ b/cmd/salttrack/main.go
@@ -17,6 +17,7 @@
 	"salttrack/internal/logqueue"
 	"salttrack/internal/loop"
 	"salttrack/internal/node"
+	"salttrack/internal/replay"
 )
 
 // Names of the program's environment variables. Package node has those of the configuration.
@@ -26,6 +27,9 @@
 	directoryVariable = "TMPDIR"              // parent directory of the hot restart records
 )
 
+// executedIDs is the name of the memory in which the processes of a balancer share the ids of requests that may have run.
+const executedIDs = "request-ids"
+
 const (
 	logTimeFormat   = "2006-01-02T15:04:05.000Z07:00"
 	logFlushTimeout = 50 * time.Millisecond // time that the exit of the program waits for a slow reader of the log
@@ -107,4 +111,10 @@
 		return
 	}
 	b.EnableHotRestart(store, func(share float64) { limitMemory(share * c.Limits.MemoryMB) })
+	memory, err := store.SharedMemory(executedIDs, replay.Size)
+	if err != nil {
+		log.WithError(err).Warn("ids of requests are not shared with other processes")
+		return
+	}
+	b.ShareExecutedIDs(memory)
 }
--- a/internal/downstream/dispatch.go
+++ b/internal/downstream/dispatch.go
@@ -40,11 +40,26 @@
 		s.counters.shutdownRejected.Inc()
 		c.traceRejected(&r, http1.StatusServiceUnavailable, reasonShutdownTooLate)
 		c.writer.respond(http1.ResponseHead{Status: http1.StatusServiceUnavailable}, nil)
+	case !s.rememberID(r.ID, class): // the class may not run twice
+		c.traceRejected(&r, http1.StatusConflict, reasonRepeatedID)
+		c.reject(http1.StatusConflict)
 	default:
 		c.startExchange(&r, class)
 	}
 }
 
+// rememberID adds the id of a request that must not run twice to the ids that may have run. It returns false if it was there.
+func (s *Server) rememberID(id string, class uint8) bool {
+	return s.ExecutedIDs == nil || s.settings.Idempotency[class] == balance.Idempotent || s.ExecutedIDs.Add(id)
+}
+
+// forgetUnexecutedID allows the id of a request that has certainly not run to come again.
+func (s *Server) forgetUnexecutedID(x *exchange.Exchange) {
+	if s.ExecutedIDs != nil && (x.BodyIncomplete || x.NeverRan()) {
+		s.ExecutedIDs.Remove(x.ClientRequestID)
+	}
+}
+
 // startExchange creates the exchange of a request and passes it to the request handler.
 func (c *conn) startExchange(r *http1.Request, class uint8) {
 	s := c.server
--- a/internal/downstream/pending.go
+++ b/internal/downstream/pending.go
@@ -19,10 +19,12 @@
 	}
 }
 
-// detachExchange removes an exchange that has ended, or is about to end, from the connection. It frees the request id.
+// detachExchange removes an exchange that has ended, or is about to end, from the connection. It frees the request id, which
+// may be used again unless the request may have run and must not run twice.
 func (p *pendingResponse) detachExchange(x *exchange.Exchange) {
 	p.exchange = nil
 	delete(p.conn.server.openRequestIDs, x.Message.(*http1.Request).ID)
+	p.conn.server.forgetUnexecutedID(x)
 }
 
 // requestID returns the id of the request that has no response yet, "" if there is none.
--- a/internal/downstream/reason.go
+++ b/internal/downstream/reason.go
@@ -17,5 +17,6 @@
 	reasonShutdownNoRequest  trace.Reason = "shutdown: no request received"
 	reasonShutdownTooLate    trace.Reason = "shutdown: response could be too late"
 	reasonShutdownCompleted  trace.Reason = "shutdown: completed"
+	reasonRepeatedID         trace.Reason = "a request with this id may have run"
 	reasonInvalidRequest     trace.Reason = "malformed or not allowed"
 )
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -17,6 +17,7 @@
 	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
 	"salttrack/internal/loop"
+	"salttrack/internal/replay"
 	"salttrack/internal/shutdown"
 	"salttrack/internal/timer"
 	"salttrack/internal/trace"
@@ -46,6 +47,7 @@
 	Counters      *counter.Set
 	Buffers       *bodystream.BufferPool // buffers for streamed bodies
 	Budget        *http1.BufferBudget    // limits the buffered bodies of requests; nil for no limit
+	ExecutedIDs   *replay.Cache          // ids of requests that may have run and must not run again; nil if they are not checked
 	Synced        func() bool            // reports whether the endpoint list and the overrides are known
 	Trace         *trace.Tracer          // nil disables tracing
 	// OnPhase is called when a phase of the shutdown begins, with the number of open connections. It may be nil.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"salttrack/internal/http1"
 	"salttrack/internal/invariant"
 	"salttrack/internal/loop"
+	"salttrack/internal/replay"
 	"salttrack/internal/settings"
 	"salttrack/internal/trace"
 	"salttrack/internal/upstream"
@@ -102,6 +103,7 @@
 		Counters:      &n.Counters,
 		Buffers:       n.bodyBuffers,
 		Budget:        n.bufferBudget,
+		ExecutedIDs:   replay.New(make([]byte, replay.Size), n.loop.Now),
 		Synced:        n.synced,
 		Trace:         n.Trace,
 		OnPhase:       n.logShutdownPhase,
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -5,6 +5,7 @@
 
 	"salttrack/balance"
 	"salttrack/internal/hotrestart"
+	"salttrack/internal/replay"
 	"salttrack/internal/timer"
 )
 
@@ -47,6 +48,12 @@
 	}
 }
 
+// ShareExecutedIDs keeps the ids of requests that must not run again in a memory of replay.Size bytes, which the processes of the
+// balancer share. It has to be called before Start.
+func (n *Node) ShareExecutedIDs(memory []byte) {
+	n.server.ExecutedIDs = replay.New(memory, hotrestart.Uptime)
+}
+
 // poll reads the peers' records, publishes the record of this process, and sets the timer of the next poll.
 func (p *peerSync) poll() {
 	if !p.reading {
