The scope of a keyed retry is that of the process that got the first attempt

Cause: an attempt referred to the entry of its upstream's name, which an update changes in place, so zone and cell of the new process decided where the key is known.

Idle connections and names at one address are told apart already (their tests).

Fix: an attempt keeps the endpoint that it was sent to, and the zone in which it counts as load, which also was decreased in the wrong zone. A connect that is tried again after a local error ends if the process has changed. It works as nothing of the old attempt is looked up.

Tests: TestScopeIsThatOfTheProcessOfTheFirstAttempt, TestKeyedRetryStaysInCellOfFirstAttempt and TestProcessChangesDuringLocalFailure failed before and pass now.

--- a/balance/host_test.go
+++ b/balance/host_test.go
@@ -35,6 +35,7 @@
 // hostAttempt is the state of an attempt at the host.
 type hostAttempt struct {
 	upstream UpstreamID
+	sentTo   Endpoint // the endpoint as it was reported when the attempt was sent
 	sentAt   Millis
 	endsAt   Millis
 	outcome  Outcome
@@ -107,7 +108,7 @@
 	r, u := f.requests[a.Request], f.endpoints[a.Upstream]
 	f.checkForward(a, r, u)
 	f.checkRetry(a, r, u)
-	attempt := &hostAttempt{upstream: a.Upstream, sentAt: f.now}
+	attempt := &hostAttempt{upstream: a.Upstream, sentTo: u.Endpoint, sentAt: f.now}
 	limit := r.expiresAt
 	if a.Timeout > 0 {
 		limit = min(limit, f.now+a.Timeout)
@@ -154,7 +155,7 @@
 		if f.now+a.SendWithin > first.sentAt+r.class.DeduplicationWindow {
 			f.fail("sends the request %d with an idempotency key again after its deduplication window", r.id)
 		}
-		previous := f.endpoints[first.upstream]
+		previous := first.sentTo
 		otherZone := r.class.DeduplicationScope != ScopeAll && previous.Zone != u.Zone
 		otherCell := r.class.DeduplicationScope == ScopeCell && previous.Cell != u.Cell
 		if otherZone || otherCell {
--- a/balance/request.go
+++ b/balance/request.go
@@ -26,10 +26,12 @@
 // attempt is one try to get a request served by an upstream.
 type attempt struct {
 	upstream     *upstream
+	sentTo       Endpoint // the upstream when the attempt was sent; another process may have its id since then
 	sentAt       Millis
 	ended        bool
-	notSent      bool // it ended with the outcome NotSent
-	countsAsLoad bool // the upstream has the complete request and has not started to respond
+	notSent      bool       // it ended with the outcome NotSent
+	countsAsLoad bool       // the upstream has the complete request and has not started to respond
+	loadedZone   *zoneClass // where it counts as load
 }
 
 // classRules returns the settings of the request's class.
@@ -122,7 +124,8 @@
 func (b *Balancer) startLoad(r *request, a *attempt) {
 	a.countsAsLoad = true
 	a.upstream.inFlight++
-	b.zoneOf(a.upstream).addInFlight(r.class, 1)
+	a.loadedZone = b.zoneOf(a.upstream)
+	a.loadedZone.addInFlight(r.class, 1)
 }
 
 // endLoad stops counting an attempt as load. It does nothing if the attempt does not count as load.
@@ -132,7 +135,7 @@
 	}
 	a.countsAsLoad = false
 	a.upstream.inFlight--
-	b.zoneOf(a.upstream).addInFlight(r.class, -1)
+	a.loadedZone.addInFlight(r.class, -1)
 }
 
 // endAttempt records the end of an attempt.
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -82,7 +82,7 @@
 	if c.Idempotency == NonIdempotent || b.deduplicationTimeLeft(r) <= 0 {
 		return false
 	}
-	return sameScope(c.DeduplicationScope, r.attempts[r.firstMayHaveRun].upstream, u)
+	return sameScope(c.DeduplicationScope, &r.attempts[r.firstMayHaveRun].sentTo, &u.Endpoint)
 }
 
 // deduplicationTimeLeft returns the time until the deduplication window of a request that may have run ends.
@@ -101,7 +101,7 @@
 
 // sameScope reports whether two upstreams are in the same deduplication scope,
 // so that each drops duplicates of what the other has executed.
-func sameScope(scope DeduplicationScope, x, y *upstream) bool {
+func sameScope(scope DeduplicationScope, x, y *Endpoint) bool {
 	if scope == ScopeAll {
 		return true
 	}
@@ -139,7 +139,7 @@
 	if number > 0 && !r.attempts[number-1].notSent {
 		b.retryBudget.count(b.window.current)
 	}
-	r.attempts = append(r.attempts, attempt{upstream: u, sentAt: b.now})
+	r.attempts = append(r.attempts, attempt{upstream: u, sentTo: u.Endpoint, sentAt: b.now})
 	r.openAttempts++
 	if r.firstMayHaveRun < 0 {
 		r.firstMayHaveRun = number
--- a/balance/retry_test.go
+++ b/balance/retry_test.go
@@ -54,3 +54,33 @@
 		})
 	}
 }
+
+// Guards against a request that runs twice, because a new process at the place of the one that got the first attempt is taken for
+// it: the scope in which duplicates are dropped is that of the process that may have run the request.
+func TestScopeIsThatOfTheProcessOfTheFirstAttempt(t *testing.T) {
+	const cellScope = 3
+	f := newWarmHost(t, testConfig(), 12)
+	req := f.submit(cellScope, 3000)
+	first := *f.endpoints[req.attempts[0].upstream]
+	restarted := first.Endpoint
+	restarted.StartedAt = f.now
+	restarted.Zone = 1 - first.Zone
+	restarted.Cell = first.Cell + 1
+	f.sendDelta(restarted)
+	f.now += 50
+	f.endAttempt(req, 0, ConnectionReset)
+	if len(req.attempts) != 2 {
+		t.Fatal("the request is not retried")
+	}
+	if second := f.endpoints[req.attempts[1].upstream]; second.Zone != first.Zone || second.Cell != first.Cell {
+		t.Errorf("retried in zone %d, cell %d, want zone %d, cell %d", second.Zone, second.Cell, first.Zone, first.Cell)
+	}
+	for i, attempt := range req.attempts {
+		if !attempt.ended {
+			f.endAttempt(req, i, OK)
+		}
+	}
+	if n := f.b.inFlight(); n != 0 || f.b.zones[localZone].inFlight != 0 {
+		t.Errorf("%d attempts count as in flight, %d of them in the local zone, want none", n, f.b.zones[localZone].inFlight)
+	}
+}
--- a/cmd/salttrack/deduplication_test.go
+++ b/cmd/salttrack/deduplication_test.go
@@ -129,3 +129,30 @@
 	p.terminate()
 	p.expectNothingInFlight()
 }
+
+// Guards against a request that runs twice, because a new process with the name and the address of the one that got the first
+// attempt is in another cell, whose upstreams do not know the key.
+func TestKeyedRetryStaysInCellOfFirstAttempt(t *testing.T) {
+	received := make(chan time.Time, 2)
+	e := newEnvironment(t, resetKeyed(received))
+	p := start(t, e.config(func(config map[string]any) {
+		withKeyedClass(config)
+		classOf(settingsOf(config), 1)["group"] = "cell"
+	}))
+	p.requestsToFirst(e, "read-") // fills the retry budget
+	e.startUpstream(echo)         // s-1, in the cell of the new process of s-0
+	conn := p.dial()
+	fmt.Fprintf(conn, "POST /pay/x HTTP/1.1\r\nX-Txn: keyed\r\nX-Lane: pay\r\nX-Remaining: 4\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\n1")
+	<-received
+	restartedAt := time.Now().Add(-time.Minute).UnixMilli()
+	e.sendUpdate(fmt.Sprintf(`{"revision":2,"complete":false,"members":[
+		{"id":"s-0","host_port":%q,"locality":"here","cell":1,"phase":"in_service","up_since_ms":%d},
+		{"id":"s-1","host_port":%q,"locality":"here","cell":1,"phase":"in_service","up_since_ms":0}]}`,
+		e.upstreams[0].listener.Addr(), restartedAt, e.upstreams[1].listener.Addr()))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || response.StatusCode != http.StatusBadGateway || e.upstreams[1].requests.Load() != 0 {
+		t.Errorf("response %v, %v, want status 502; %d requests in the other cell", response, err, e.upstreams[1].requests.Load())
+	}
+	p.terminate()
+	p.expectNothingInFlight()
+}
--- a/internal/upstream/connect.go
+++ b/internal/upstream/connect.go
@@ -119,6 +119,7 @@
 type pendingConnect struct {
 	pool     *Pool
 	endpoint *endpoint
+	process  process // the process of the upstream that the attempt was started for
 	attempt  *exchange.Attempt
 	deadline balance.Millis
 	timer    *timer.Timer // runs the next retry
@@ -127,14 +128,14 @@
 // retryConnect retries the connect of an attempt after connectRetryInterval.
 func (p *Pool) retryConnect(a *exchange.Attempt, e *endpoint) {
 	p.counters.localFailures.Inc()
-	pending := &pendingConnect{pool: p, endpoint: e, attempt: a, deadline: p.loop.Now() + p.connectTimeout}
+	pending := &pendingConnect{pool: p, endpoint: e, process: e.process, attempt: a, deadline: p.loop.Now() + p.connectTimeout}
 	p.pending[a] = pending
 	pending.timer = p.loop.After(connectRetryInterval, pending.retry)
 }
 
 func (s *pendingConnect) retry() {
 	p := s.pool
-	if s.endpoint.removed || !p.listener.Sendable(s.attempt) {
+	if s.endpoint.removed || s.endpoint.process != s.process || !p.listener.Sendable(s.attempt) {
 		if p.pending[s.attempt] == s { // Sendable may have cancelled the attempt
 			s.end(balance.NotSent)
 		}
--- a/internal/upstream/faults_test.go
+++ b/internal/upstream/faults_test.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sys/unix"
 
 	"salttrack/balance"
+	"salttrack/internal/exchange"
 	"salttrack/internal/simulation/faultinject"
 )
 
@@ -27,6 +28,18 @@
 	}
 }
 
+// Guards against a request that goes to a new process at the place of the one that it was meant for, while its connect is tried again.
+func TestProcessChangesDuringLocalFailure(t *testing.T) {
+	r := newRig(t, 8, faultinject.Rule{Call: faultinject.Connect, Errno: unix.EADDRNOTAVAIL, MaxHits: 3})
+	u := newUpstream(t, r)
+	var a *exchange.Attempt
+	r.Do(func() {
+		a = r.begin(r.newExchange(), attemptTimeout)
+		r.pool.SetAddress(1, u.Address(), 7)
+	})
+	r.checkOutcome(a, "restarted", balance.NotSent)
+}
+
 // If a local error lasts until the connect timeout, the outcome is NotSent, which is not a failure of the upstream. If
 // there is no route to the upstream, the outcome is ConnectFailed.
 func TestLastingLocalFailure(t *testing.T) {
