A flood of requests on one connection is read in small parts

Cause: up to 16 KiB are read at once, and all requests in them that need no upstream, up to 640, were answered in one turn of the event loop, for which each step of others waits.

Fix: after a read with more than 16 requests the next reads are 2 KiB.

--- a/balance/request.go
+++ b/balance/request.go
@@ -26,7 +26,7 @@
 // attempt is one try to get a request served by an upstream.
 type attempt struct {
 	upstream     *upstream
-	sentTo       Endpoint // the upstream when the attempt was sent; another process may have its id since then
+	sentTo       Endpoint // the upstream when the attempt was sent; its id may be that of another process now
 	sentAt       Millis
 	ended        bool
 	notSent      bool       // it ended with the outcome NotSent
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -23,6 +23,7 @@
 	unread       []byte         // bytes that were received after the last request and have not been decoded yet; see setUnread
 	unreadMemory int            // bytes of memory that unread keeps in use
 	resuming     bool           // a call of resume is running
+	manyRequests bool           // the last read had more than maxRequestsPerRead requests
 	body         bodyProgress
 
 	continueSent   bool   // the server has tried to write 100 Continue and does not try again
@@ -69,7 +70,7 @@
 	c := r.conn
 	count := r.requestCount
 	for i := 0; i < maxReadsPerTurn && r.listElement != nil && r.requestCount == count; i++ {
-		n, err := c.server.Loop.Read(c.fd, c.server.Budget.ReadBuffer(c.server.readBuffer))
+		n, err := c.server.Loop.Read(c.fd, r.readBuffer())
 		switch {
 		case err == unix.EAGAIN:
 			return
@@ -80,10 +81,21 @@
 		default:
 			r.receivedAt = c.server.Loop.EarliestArrivalAt(c.fd)
 			r.decodeShared(c.server.readBuffer[:n])
+			r.manyRequests = r.requestCount > count+maxRequestsPerRead
 		}
 	}
 }
 
+// readBuffer returns the part of the server's read buffer that the next read may fill. All requests of a read may be answered in
+// one turn of the loop, so reads are small if there are many.
+func (r *requestReader) readBuffer() []byte {
+	buffer := r.conn.server.Budget.ReadBuffer(r.conn.server.readBuffer)
+	if r.manyRequests {
+		return buffer[:min(len(buffer), smallReadBytes)]
+	}
+	return buffer
+}
+
 // resume decodes the bytes that were received after the request whose response has just been sent.
 // A response may be sent while the request is still being decoded, which calls resume again.
 // That call returns at once and the outer call continues, so that hundreds of pipelined requests do not cause deep recursion.
--- a/internal/downstream/reader_test.go
+++ b/internal/downstream/reader_test.go
@@ -11,6 +11,7 @@
 
 	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
+	"salttrack/internal/loop"
 )
 
 // A request has to be decoded in the same way for all sizes of the fragments in which its bytes arrive.
@@ -206,3 +207,27 @@
 	d.depth <- runtime.Callers(0, make([]uintptr, 4096))
 	d.testServer.HandleRequest(x)
 }
+
+// Guards against late responses to other clients while one client sends small or unsound requests at full speed: after the first
+// read, few of them are answered in one turn of the loop.
+func TestFewRequestsOfFloodInOneTurn(t *testing.T) {
+	const flood, maxInTurn = 900, 100 // the responses fit into the buffers of the kernel
+	s := newTestServer(t, 64, 4)
+	c := s.connect()
+	c.send("GET /-/nope HTTP/1.1\r\n\r\n")
+	c.response()
+	s.Do(func() {
+		conn := s.onlyConn()
+		c.send(strings.Repeat("GET /-/nope HTTP/1.1\r\n\r\n", flood))
+		busyWait(func() bool { return !s.Loop.IdleOpen(conn.fd) })
+		conn.Ready(loop.Readable)
+		before := conn.reader.requestCount
+		conn.Ready(loop.Readable)
+		if n := conn.reader.requestCount - before; n == 0 || n > maxInTurn {
+			t.Errorf("%d requests in the second turn, want some and at most %d", n, maxInTurn)
+		}
+	})
+	for range flood {
+		c.response()
+	}
+}
