Bytes behind a request are read ahead, so that a client that has left is noticed

Cause: nothing was read from a connection while its request had no response, and the end of the connection comes behind all bytes.

The close is asked for before each attempt.

Fix: up to 256 KiB are read ahead, within the budget of buffered bytes. It works as the close then arrives at once. Each request's time counts from the arrival of its last byte.

Two tests waited for bytes in the kernel, which are read ahead now; they wait for these and check the same bounds.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -51,6 +51,7 @@
 func newConn(s *Server, fd int) *conn {
 	c := &conn{server: s, fd: fd}
 	c.reader.conn = c
+	c.reader.unread.conn = c
 	c.reader.decoder = http1.NewRequestDecoder()
 	c.reader.decoder.LimitBuffer(s.Budget)
 	c.requestStream.conn = c
--- a/internal/downstream/idle.go
+++ b/internal/downstream/idle.go
@@ -16,7 +16,7 @@
 	for e := s.readingConns.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*conn)
 		inactivity := now - c.reader.lastActivity
-		if !c.overflow && inactivity >= c.reader.minInactivityBeforeShed(minIdle) && s.Loop.IdleOpen(c.fd) {
+		if !c.overflow && inactivity >= c.reader.minInactivityBeforeShed(minIdle) && len(c.reader.unread.bytes) == 0 && s.Loop.IdleOpen(c.fd) {
 			s.counters.connectionsShed.Inc()
 			c.close(reasonShed)
 			return true
--- a/internal/downstream/limits.go
+++ b/internal/downstream/limits.go
@@ -48,8 +48,7 @@
 // Limits on reading, so that one client does not delay the others.
 const (
 	readBufferBytes         = 16 << 10 // size of the read buffer in bytes
-	maxRequestsPerRead      = 16       // number of requests in one read above which the next reads are smaller
-	smallReadBytes          = 2 << 10  // size in bytes of the reads from a client that sends many requests at once
+	maxRequestsPerResume    = 64       // maximum number of requests that were read before and are decoded in one turn of the event loop
 	maxReadsPerTurn         = 16       // maximum number of reads from one connection in one turn of the event loop
 	minBodyBytesPerInterval = 16 << 10 // bytes of a body that a client has to send in each bodyProgressInterval
 )
--- a/internal/downstream/pending.go
+++ b/internal/downstream/pending.go
@@ -7,7 +7,7 @@
 )
 
 // pendingResponse is the state of a connection whose request is complete and has no response yet.
-// In this state nothing is read, so the only events are the client's close and errors.
+// In this state bytes are read ahead, and the client's close and errors end the request.
 type pendingResponse struct {
 	conn     *conn
 	exchange *exchange.Exchange // set in the states pendingResponse and requestStream; nil otherwise
@@ -16,7 +16,9 @@
 func (p *pendingResponse) ready(events uint32) {
 	if events&(loop.HangUp|loop.Failed) != 0 {
 		p.conn.clientDisconnected()
+		return
 	}
+	p.conn.reader.unread.readAhead()
 }
 
 // detachExchange removes an exchange that has ended, or is about to end, from the connection. It frees the request id, which
--- /dev/null
+++ b/internal/downstream/read_ahead.go
@@ -0,0 +1,98 @@
+package downstream
+
+import (
+	"golang.org/x/sys/unix"
+
+	"salttrack/balance"
+	"salttrack/internal/loop"
+)
+
+// maxReadAheadBytes is the number of bytes that are read behind a request before its response is sent. A client that closes its
+// connection behind more bytes is noticed only when they are read.
+const maxReadAheadBytes = 256 << 10
+
+// unreadInput holds the bytes that were received after the last request and have not been decoded yet. They are read while that
+// request has no response, so that a close behind them is noticed.
+type unreadInput struct {
+	conn     *conn
+	bytes    []byte
+	memory   int       // bytes of memory that they keep in use, counted against the budget
+	arrivals []arrival // of the bytes, in order
+}
+
+// arrival is the earliest time at which a number of bytes may have arrived.
+type arrival struct {
+	bytes int
+	at    balance.Millis
+}
+
+// take returns the bytes and the memory that they keep in use, which the caller has to count from now on.
+func (u *unreadInput) take() (p []byte, memory int) {
+	p, memory = u.bytes, u.memory
+	u.replace(nil, 0)
+	return p, memory
+}
+
+// replace replaces the bytes. Their arrivals stay.
+func (u *unreadInput) replace(p []byte, memory int) {
+	if len(p) == 0 {
+		p, memory = nil, 0
+	}
+	u.conn.server.Budget.Add(memory - u.memory)
+	u.bytes, u.memory = p, memory
+}
+
+// append adds a copy of bytes that may have arrived at a time or later.
+func (u *unreadInput) append(p []byte, at balance.Millis) {
+	if len(p) == 0 {
+		return
+	}
+	joined := append(u.bytes, p...)
+	u.replace(joined, max(u.memory, cap(joined)))
+	u.arrivals = append(u.arrivals, arrival{len(p), at})
+}
+
+// consume removes the arrivals of the first n bytes, and returns the earliest time at which the last of these may have arrived.
+// It reports whether there was one.
+func (u *unreadInput) consume(n int) (at balance.Millis, found bool) {
+	for n > 0 && len(u.arrivals) > 0 {
+		first := &u.arrivals[0]
+		at, found = first.at, true
+		if first.bytes > n {
+			first.bytes -= n
+			break
+		}
+		n -= first.bytes
+		u.arrivals = u.arrivals[1:]
+	}
+	return at, found
+}
+
+// clear removes all bytes.
+func (u *unreadInput) clear() {
+	u.replace(nil, 0)
+	u.arrivals = nil
+}
+
+// readAhead reads bytes behind the request that has no response yet, up to maxReadAheadBytes. At the end of the input the client has
+// disconnected.
+func (u *unreadInput) readAhead() {
+	c := u.conn
+	for range maxReadsPerTurn {
+		space := maxReadAheadBytes - len(u.bytes)
+		if space <= 0 || c.server.Budget.Exceeded() {
+			c.server.Loop.Watch(c.fd, loop.HangUp)
+			return
+		}
+		buffer := c.server.readBuffer[:min(space, len(c.server.readBuffer))]
+		n, err := c.server.Loop.Read(c.fd, buffer)
+		if err == unix.EAGAIN {
+			return
+		}
+		if err != nil || n == 0 {
+			c.clientDisconnected()
+			return
+		}
+		u.append(buffer[:n], c.server.Loop.EarliestArrivalAt(c.fd))
+	}
+}
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -9,6 +9,7 @@
 	"salttrack/balance"
 	"salttrack/internal/http1"
 	"salttrack/internal/loop"
+	"salttrack/internal/timer"
 )
 
 // requestReader is the state of a connection that is idle or receives a request.
@@ -20,10 +21,9 @@
 	lastActivity balance.Millis // time at which bytes were last received or the connection became idle
 	receivedAt   balance.Millis // earliest time at which the bytes that are being decoded may have arrived
 	requestCount int            // number of requests that have been dispatched
-	unread       []byte         // bytes that were received after the last request and have not been decoded yet; see setUnread
-	unreadMemory int            // bytes of memory that unread keeps in use
+	unread       unreadInput    // bytes that were received after the last request
 	resuming     bool           // a call of resume is running
-	manyRequests bool           // the last read had more than maxRequestsPerRead requests
+	resumeTimer  *timer.Timer   // calls resume in the next turn of the loop; nil if it was never set
 	body         bodyProgress
 
 	continueSent   bool   // the server has tried to write 100 Continue and does not try again
@@ -62,7 +62,14 @@
 	}
 }
 
-func (r *requestReader) ready(uint32) { r.read() }
+func (r *requestReader) ready(events uint32) {
+	switch {
+	case len(r.unread.bytes) == 0:
+		r.read()
+	case events&(loop.HangUp|loop.Failed) != 0: // while resume waits for the next turn
+		r.conn.close(reasonClosedByClient)
+	}
+}
 
 // read reads until a request is complete or no more input is available. It returns after the read that has completed a request,
 // so that a client that pipelines hundreds of requests does not delay the others.
@@ -70,7 +77,7 @@
 	c := r.conn
 	count := r.requestCount
 	for i := 0; i < maxReadsPerTurn && r.listElement != nil && r.requestCount == count; i++ {
-		n, err := c.server.Loop.Read(c.fd, r.readBuffer())
+		n, err := c.server.Loop.Read(c.fd, c.server.Budget.ReadBuffer(c.server.readBuffer))
 		switch {
 		case err == unix.EAGAIN:
 			return
@@ -81,21 +88,10 @@
 		default:
 			r.receivedAt = c.server.Loop.EarliestArrivalAt(c.fd)
 			r.decodeShared(c.server.readBuffer[:n])
-			r.manyRequests = r.requestCount > count+maxRequestsPerRead
 		}
 	}
 }
 
-// readBuffer returns the part of the server's read buffer that the next read may fill. All requests of a read may be answered in
-// one turn of the loop, so reads are small if there are many.
-func (r *requestReader) readBuffer() []byte {
-	buffer := r.conn.server.Budget.ReadBuffer(r.conn.server.readBuffer)
-	if r.manyRequests {
-		return buffer[:min(len(buffer), smallReadBytes)]
-	}
-	return buffer
-}
-
 // resume decodes the bytes that were received after the request whose response has just been sent.
 // A response may be sent while the request is still being decoded, which calls resume again.
 // That call returns at once and the outer call continues, so that hundreds of pipelined requests do not cause deep recursion.
@@ -104,18 +100,33 @@
 		return
 	}
 	r.resuming = true
-	for len(r.unread) > 0 && r.listElement != nil {
-		p, memory := r.unread, r.unreadMemory
-		r.setUnread(nil, 0)
-		r.decodeOwned(p, memory)
+	for n := 0; len(r.unread.bytes) > 0 && r.listElement != nil; n++ {
+		if n == maxRequestsPerResume {
+			r.resumeInNextTurn()
+			break
+		}
+		r.decodeOwned(r.unread.take())
 	}
 	r.resuming = false
 }
 
+// resumeInNextTurn calls resume in the next turn of the loop. Until then nothing is read, as it would overtake the unread bytes.
+func (r *requestReader) resumeInNextTurn() {
+	l := r.conn.server.Loop
+	l.Watch(r.conn.fd, loop.HangUp)
+	r.resumeTimer = l.After(0, func() {
+		l.Watch(r.conn.fd, loop.Readable|loop.HangUp)
+		r.resume()
+	})
+}
+
+// idle reports whether no byte of a request has been received since the last response.
+func (r *requestReader) idle() bool { return !r.decoder.Started() && len(r.unread.bytes) == 0 }
+
 // decodeShared decodes bytes in the server's read buffer. It copies the bytes after a complete request, since the buffer is reused.
 func (r *requestReader) decodeShared(p []byte) {
 	if n, complete := r.decode(p); complete {
-		r.setUnread(bytes.Clone(p[n:]), len(p)-n)
+		r.unread.append(p[n:], r.receivedAt)
 		r.dispatch()
 	}
 }
@@ -124,23 +135,15 @@
 // memory in use.
 func (r *requestReader) decodeOwned(p []byte, memory int) {
 	if n, complete := r.decode(p); complete {
-		r.setUnread(p[n:], memory)
+		r.unread.replace(p[n:], memory)
 		r.dispatch()
 	}
 }
 
-// setUnread replaces the bytes that have not been decoded yet. It counts the memory that they keep in use against the budget.
-func (r *requestReader) setUnread(p []byte, memory int) {
-	if len(p) == 0 {
-		p, memory = nil, 0
-	}
-	r.conn.server.Budget.Add(memory - r.unreadMemory)
-	r.unread, r.unreadMemory = p, memory
-}
-
 // release returns the memory of a connection that is closed to the budget.
 func (r *requestReader) release() {
-	r.setUnread(nil, 0)
+	r.conn.server.Loop.Timers.Stop(r.resumeTimer)
+	r.unread.clear()
 	r.decoder.ReleaseBody()
 }
 
@@ -157,7 +160,11 @@
 		c.rejectAndClose(http1.StatusOf(err))
 		return n, false
 	}
+	if at, ahead := r.unread.consume(n); ahead {
+		r.receivedAt = at
+	}
 	if r.decoder.NeedsStreaming() {
+		r.unread.consume(len(p) - n) // the following bytes get the arrival of this request
 		c.startRequestStream(bytes.Clone(p[n:]))
 		return n, false
 	}
@@ -185,10 +192,9 @@
 	c.server.readingConns.MoveToBack(r.listElement)
 }
 
-// dispatch dispatches the decoder's complete request and stops reading until its response has been sent.
+// dispatch dispatches the decoder's complete request. Until its response has been sent, bytes are only read ahead.
 func (r *requestReader) dispatch() {
 	r.conn.stopReading()
-	r.conn.server.Loop.Watch(r.conn.fd, loop.HangUp)
 	r.conn.dispatch(r.decoder.Request())
 }
 
--- a/internal/downstream/request_stream.go
+++ b/internal/downstream/request_stream.go
@@ -145,9 +145,9 @@
 	stream := s.detach()
 	x := c.pending.exchange
 	c.state = &c.pending
-	c.reader.setUnread(following, len(following))
+	c.reader.unread.append(following, c.reader.receivedAt)
 	c.stopTimer()
-	c.server.Loop.Watch(c.fd, loop.HangUp)
+	c.server.Loop.Watch(c.fd, loop.Readable|loop.HangUp)
 	c.startDeadline(x, x.Message.(*http1.Request))
 	stream.Finish()
 	if c.pending.exchange == x {
--- a/internal/downstream/response.go
+++ b/internal/downstream/response.go
@@ -51,9 +51,9 @@
 func (c *conn) shouldClose() bool {
 	switch {
 	case c.overflow:
-		return len(c.reader.unread) == 0
+		return len(c.reader.unread.bytes) == 0
 	case c.server.shuttingDown() || c.server.quota.NearlyExhausted():
-		return len(c.reader.unread) == 0 && c.server.Loop.IdleOpen(c.fd)
+		return len(c.reader.unread.bytes) == 0 && c.server.Loop.IdleOpen(c.fd)
 	}
 	return false
 }
--- a/internal/downstream/shutdown.go
+++ b/internal/downstream/shutdown.go
@@ -124,7 +124,7 @@
 	for e := s.readingConns.Front(); e != nil; {
 		c := e.Value.(*conn)
 		e = e.Next()
-		if c.responded && !c.reader.decoder.Started() && s.Loop.IdleOpen(c.fd) {
+		if c.responded && c.reader.idle() && s.Loop.IdleOpen(c.fd) {
 			c.close(reasonShutdownIdle)
 		}
 	}
@@ -140,7 +140,7 @@
 		switch {
 		case c.reader.decoder.Started():
 			c.rejectAndClose(http1.StatusServiceUnavailable)
-		case s.Loop.IdleOpen(c.fd):
+		case c.reader.idle() && s.Loop.IdleOpen(c.fd):
 			c.close(reasonShutdownNoRequest)
 		}
 	}
--- a/internal/http1/buffer_budget.go
+++ b/internal/http1/buffer_budget.go
@@ -29,10 +29,11 @@
 
 // ReadBuffer returns the part of a buffer that the next read from a connection may fill.
 func (b *BufferBudget) ReadBuffer(buffer []byte) []byte {
-	if b.exceeded() {
+	if b.Exceeded() {
 		return buffer[:min(len(buffer), overBudgetReadBytes)]
 	}
 	return buffer
 }
 
-func (b *BufferBudget) exceeded() bool { return b != nil && b.used > b.limit }
+// Exceeded reports whether more than the limit is in use.
+func (b *BufferBudget) Exceeded() bool { return b != nil && b.used > b.limit }
--- a/internal/http1/decoder.go
+++ b/internal/http1/decoder.go
@@ -182,7 +182,7 @@
 		d.body = grown
 	}
 	d.body = append(d.body, p...)
-	d.overBudget = d.overBudget || length > minStreamedBodyBytes && d.budget.exceeded()
+	d.overBudget = d.overBudget || length > minStreamedBodyBytes && d.budget.Exceeded()
 }
 
 // feedLine decodes bytes of one line and parses the line when it is complete.
