A response is counted before it is sent, as sending may end its attempts

Cause: finish counted the response after sending it. A failed write closes the connection, which ends the attempt and removes the exchange before the response is counted.

Fix: it counts and traces first. It works as the exchange then never counts as in progress once it is removed.

--- a/internal/driver/events.go
+++ b/internal/driver/events.go
@@ -139,8 +139,9 @@
 }
 
 // finish ends an exchange with its final response. It returns false and does nothing if the exchange has already ended.
+// It counts the response first: while it is sent, the client may turn out to be gone, which ends the attempts of the exchange.
 func (d *Driver) finish(x *exchange.Exchange, response exchange.Response) bool {
-	if !x.Respond(response) {
+	if x.Disposition() != exchange.InProgress {
 		return false
 	}
 	d.traceResponse(x, &response)
@@ -148,6 +149,7 @@
 		d.counters.lateResponses.Inc()
 	}
 	d.counters.countResponse(response.Disposition)
+	x.Respond(response)
 	d.removeFinished(x)
 	return true
 }
--- a/internal/driver/helpers_test.go
+++ b/internal/driver/helpers_test.go
@@ -40,6 +40,7 @@
 
 	onStart        func(*exchange.Attempt) // called in place of Start's normal behavior unless nil
 	onCancelUnsent func()                  // called by CancelUnsent unless nil
+	onRespond      func()                  // called by Respond unless nil
 }
 
 // newFixture returns a fixture whose driver has been started and has three ready upstreams.
@@ -125,6 +126,9 @@
 // Respond implements exchange.Client. It records the response.
 func (f *fixture) Respond(x *exchange.Exchange, r exchange.Response) {
 	f.responses[x] = append(f.responses[x], r)
+	if f.onRespond != nil {
+		f.onRespond()
+	}
 }
 
 // remove removes an attempt from those in flight.
--- a/internal/driver/requests_test.go
+++ b/internal/driver/requests_test.go
@@ -4,7 +4,9 @@
 	"testing"
 
 	"salttrack/balance"
+	"salttrack/internal/bodystream"
 	"salttrack/internal/exchange"
+	"salttrack/internal/invariant"
 )
 
 func TestServed(t *testing.T) {
@@ -127,3 +129,17 @@
 		t.Errorf("%d late responses, want 1", f.value("responses_late"))
 	}
 }
+
+// Guards against a violated invariant, at which the debug build panics: the client may reset its connection while a long response
+// starts, which ends the attempt before Respond returns.
+func TestAttemptEndsWhileResponseStarts(t *testing.T) {
+	f := newFixture(t, testConfig())
+	x := f.receive(idempotentClass, 1000)
+	a := f.inFlight[0]
+	f.onRespond = func() { f.end(a, balance.Cancelled, "") }
+	violations := invariant.Violations()
+	f.driver.ResponseStarted(a, bodystream.New(bodystream.NewBufferPool(1), -1))
+	if n := invariant.Violations() - violations; n != 0 || f.disposition(x) != exchange.Served || f.driver.Exchanges() != 0 {
+		t.Errorf("%d violations, disposition %v, %d exchanges left", n, f.disposition(x), f.driver.Exchanges())
+	}
+}
