The soak of long requests also has long responses that are sent slowly

Need: the soak had no long answers, so it could not find answers that are cut off, nor an invariant that is violated when their client resets.

The two tests of keyed retries share their request.

--- a/cmd/salttrack/deduplication_test.go
+++ b/cmd/salttrack/deduplication_test.go
@@ -97,6 +97,13 @@
 	class["window_ms"] = deduplicationWindow.Milliseconds()
 }
 
+// sendKeyed sends a request with an idempotency key on a connection of its own.
+func (p *program) sendKeyed() net.Conn {
+	conn := p.dial()
+	fmt.Fprint(conn, "POST /pay/x HTTP/1.1\r\nX-Txn: keyed\r\nX-Lane: pay\r\nX-Remaining: 4\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\n1")
+	return conn
+}
+
 // Guards against a keyed request that runs twice, because its retry waits for a connection until its window has ended.
 func TestKeyedRetryIsNotSentAfterItsWindow(t *testing.T) {
 	received := make(chan time.Time, 2)
@@ -106,8 +113,7 @@
 	late := listenJammed(t)
 	e.upstreams = append(e.upstreams, &fakeUpstream{id: "s-1", listener: late})
 
-	conn := p.dial()
-	fmt.Fprintf(conn, "POST /pay/x HTTP/1.1\r\nX-Txn: keyed\r\nX-Lane: pay\r\nX-Remaining: 4\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\n1")
+	conn := p.sendKeyed()
 	first := <-received
 	e.sendUpdate(`{"revision":2,"complete":false,"members":[` + e.endpoint(1, "in_service") + `]}`)
 	time.Sleep(holdDuration + synRetryInterval/4)
@@ -141,8 +147,7 @@
 	}))
 	p.requestsToFirst(e, "read-") // fills the retry budget
 	e.startUpstream(echo)         // s-1, in the cell of the new process of s-0
-	conn := p.dial()
-	fmt.Fprintf(conn, "POST /pay/x HTTP/1.1\r\nX-Txn: keyed\r\nX-Lane: pay\r\nX-Remaining: 4\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\n1")
+	conn := p.sendKeyed()
 	<-received
 	restartedAt := time.Now().Add(-time.Minute).UnixMilli()
 	e.sendUpdate(fmt.Sprintf(`{"revision":2,"complete":false,"members":[
--- a/cmd/salttrack/soak_test.go
+++ b/cmd/salttrack/soak_test.go
@@ -26,6 +26,8 @@
 	soakUpstreams    = 4
 	soakClients      = 24
 	soakLongestBody  = 600 << 10              // bytes; the kernel's buffers of a client hold it
+	soakLongResponse = 200 << 10              // bytes
+	soakResponsePart = 8 << 10                // bytes of a long response that are sent at once
 	soakHoldUp       = 140 * time.Millisecond // hold-ups of up to 150 ms have to be borne
 	soakHoldUpPause  = 1500 * time.Millisecond
 	soakLateResponse = 550 * time.Millisecond // a response may be half a second late; 50 ms for the sockets
@@ -42,7 +44,7 @@
 func soakRandom(stream int) *rand.Rand { return rand.New(rand.NewPCG(*soakSeed, uint64(stream))) }
 
 // soakUpstream returns the handler of an upstream that reads a body slowly, stops reading, rejects a request before its
-// end, or resets the connection.
+// end, resets the connection, or sends a long response slowly.
 func soakUpstream(stream int) http.HandlerFunc {
 	var mu sync.Mutex
 	random := soakRandom(stream)
@@ -65,7 +67,26 @@
 			n, _ = io.CopyN(io.Discard, r.Body, 64<<10)
 		}
 		time.Sleep(pause)
-		fmt.Fprint(w, "response to ", r.Header.Get("X-Txn"))
+		text := "response to " + r.Header.Get("X-Txn")
+		if fault == 3 {
+			soakRespondSlowly(w, soakLongText(text), pause/4)
+			return
+		}
+		fmt.Fprint(w, text)
+	}
+}
+
+// soakLongText returns a long response that begins with a text.
+func soakLongText(text string) string { return text + strings.Repeat("x", soakLongResponse-len(text)) }
+
+// soakRespondSlowly sends a response of unknown length with a pause after each part.
+func soakRespondSlowly(w http.ResponseWriter, text string, pause time.Duration) {
+	for flush := http.NewResponseController(w).Flush; len(text) > 0; time.Sleep(pause) {
+		part := text[:min(len(text), soakResponsePart)]
+		text = text[len(part):]
+		if _, err := io.WriteString(w, part); err != nil || flush() != nil {
+			return
+		}
 	}
 }
 
@@ -145,9 +166,12 @@
 		return
 	}
 	s.responses.Add(1)
+	conn.SetReadDeadline(time.Now().Add(waitTimeout)) // of a long response only the first bytes are timed
 	body, err := io.ReadAll(response.Body)
-	if err != nil || response.StatusCode == http.StatusOK && string(body) != "response to "+q.id || response.StatusCode/100 == 4 {
-		s.t.Errorf("%+v: status %d, body %q, %v", q, response.StatusCode, body, err)
+	text := "response to " + q.id
+	served := string(body) == text || string(body) == soakLongText(text)
+	if err != nil || response.StatusCode == http.StatusOK && !served || response.StatusCode/100 == 4 {
+		s.t.Errorf("%+v: status %d, body of %d bytes, %.80q, %v", q, response.StatusCode, len(body), body, err)
 	}
 }
 
@@ -161,8 +185,8 @@
 	}
 }
 
-// Guards against interactions of faults under long requests: upstreams that do not read, reject early or reset, clients that leave
-// or send slowly, and hold-ups of the program. Each client that waits gets one response of its own in time, and nothing is left behind.
+// Guards against interactions of faults under long requests: upstreams that do not read, reject early, reset or send long responses
+// slowly, clients that leave or send slowly, and hold-ups of the program. Each client that waits gets one response of its own in time, and nothing is left behind.
 func TestSoakOfLongRequests(t *testing.T) {
 	var upstreams []http.HandlerFunc
 	for i := range soakUpstreams {
