Finished requests are removed before the next tick when there are many

Fix: they are removed when there are 1,024 more than twice those in progress, counted when a request arrives. It works as the memory is then bounded by the requests in progress.

--- a/balance/request.go
+++ b/balance/request.go
@@ -49,11 +49,18 @@
 // requestTable holds the requests in progress, and the memory of finished ones for reuse.
 type requestTable struct {
 	byID     map[RequestID]*request
-	arrivals []*request // sorted by arrival; finished requests are removed at the next tick
+	arrivals []*request // sorted by arrival; finished requests are removed at the next tick or at sweepAt
 	free     []*request // finished requests whose memory can be reused
+	sweepAt  int        // length of arrivals at which the finished requests are removed before the next tick
 }
 
-func newRequestTable() requestTable { return requestTable{byID: map[RequestID]*request{}} }
+// minSweep is the smallest number of requests in arrivals, beside twice those in progress, at which the finished ones
+// are removed before the next tick. It bounds the memory of a flood of requests that are rejected at once.
+const minSweep = 1024
+
+func newRequestTable() requestTable {
+	return requestTable{byID: map[RequestID]*request{}, sweepAt: minSweep}
+}
 
 // acquire returns a request to be filled in.
 // It reuses a finished one with the memory of its attempts if there is one.
@@ -84,10 +91,14 @@
 	}
 	clear(t.arrivals[len(kept):])
 	t.arrivals = kept
+	t.sweepAt = 2*len(kept) + minSweep
 }
 
 // addRequest adds a request that has arrived to the requests in progress.
 func (b *Balancer) addRequest(e *RequestArrived) *request {
+	if len(b.requests.arrivals) >= b.requests.sweepAt {
+		b.requests.dropFinished()
+	}
 	r := b.requests.acquire()
 	c := &b.settings.Classes[e.Class]
 	*r = request{
--- a/balance/retry_test.go
+++ b/balance/retry_test.go
@@ -84,3 +84,16 @@
 		t.Errorf("%d attempts count as in flight, %d of them in the local zone, want none", n, f.b.zones[localZone].inFlight)
 	}
 }
+
+// Guards against memory that grows with a flood of requests that are rejected at once, between two ticks.
+func TestFinishedRequestsAreReusedBeforeTheNextTick(t *testing.T) {
+	b := New(testConfig(), 1, 1e6) // has no upstream, so it rejects all requests
+	discard(b)
+	for id := range RequestID(20 * minSweep) {
+		b.OnRequest(1e6, &RequestArrived{Request: id, ExpiresIn: 1000})
+		discard(b)
+	}
+	if n := len(b.requests.arrivals) + len(b.requests.free); n > 2*minSweep {
+		t.Errorf("%d finished requests are kept, want at most %d", n, 2*minSweep)
+	}
+}
