Reading ahead leaves half of the budget, and keeps one arrival for 10 ms

Cause: a client that sends its bytes one by one added an arrival for each read, which the budget did not count, and reading ahead could use up the budget of buffered bodies.

Change: bytes that arrive within 10 ms share the earliest time, and bytes are read ahead only while less than half of the budget is used.

--- a/internal/downstream/read_ahead.go
+++ b/internal/downstream/read_ahead.go
@@ -11,6 +11,10 @@
 // connection behind more bytes is noticed only when they are read.
 const maxReadAheadBytes = 256 << 10
 
+// arrivalResolution is the time within which bytes count as having arrived together, at the earliest time. It bounds the number of
+// arrivals of a client that sends its bytes one by one.
+const arrivalResolution balance.Millis = 10
+
 // unreadInput holds the bytes that were received after the last request and have not been decoded yet. They are read while that
 // request has no response, so that a close behind them is noticed.
 type unreadInput struct {
@@ -49,6 +53,10 @@
 	}
 	joined := append(u.bytes, p...)
 	u.replace(joined, max(u.memory, cap(joined)))
+	if last := len(u.arrivals) - 1; last >= 0 && at-u.arrivals[last].at < arrivalResolution {
+		u.arrivals[last].bytes += len(p)
+		return
+	}
 	u.arrivals = append(u.arrivals, arrival{len(p), at})
 }
 
@@ -80,7 +88,7 @@
 	c := u.conn
 	for range maxReadsPerTurn {
 		space := maxReadAheadBytes - len(u.bytes)
-		if space <= 0 || c.server.Budget.Exceeded() {
+		if space <= 0 || c.server.Budget.HalfUsed() {
 			c.server.Loop.Watch(c.fd, loop.HangUp)
 			return
 		}
--- a/internal/http1/buffer_budget.go
+++ b/internal/http1/buffer_budget.go
@@ -35,5 +35,8 @@
 	return buffer
 }
 
+// HalfUsed reports whether at least half of the limit is in use.
+func (b *BufferBudget) HalfUsed() bool { return b != nil && 2*b.used >= b.limit }
+
 // Exceeded reports whether more than the limit is in use.
 func (b *BufferBudget) Exceeded() bool { return b != nil && b.used > b.limit }
--- a/internal/simulation/mutation/defects_connections_test.go
+++ b/internal/simulation/mutation/defects_connections_test.go
@@ -209,7 +209,9 @@
 				file: "internal/downstream/pending.go",
 				old: `	if events&(loop.HangUp|loop.Failed) != 0 {
 		p.conn.clientDisconnected()
-	}`,
+		return
+	}
+	p.conn.reader.unread.readAhead()`,
 				new: `	_ = events & loop.HangUp`,
 			},
 		},
