--- a/balance/request.go
+++ b/balance/request.go
@@ -54,8 +54,8 @@
 	sweepAt  int        // length of arrivals at which the finished requests are removed before the next tick
 }
 
-// minSweep is the smallest number of requests in arrivals, beside twice those in progress, at which the finished ones
-// are removed before the next tick. It bounds the memory of a flood of requests that are rejected at once.
+// minSweep is how many requests arrivals may have, beside twice those in progress, until a sweep.
+// It bounds the memory of a flood of requests that are rejected at once, before the next tick.
 const minSweep = 1024
 
 func newRequestTable() requestTable {
