One account counts the memory that peers make the process hold, by kind

The budget for buffered bodies counted two of seven kinds.

memory.Account replaces http1.BufferBudget. It counts bytes read ahead, bodies, buffers of streams, heads, unread responses, requests in progress and connections. It has a share for each kind up to which that kind is extended; so far only bodies and bytes read ahead ask it, at the same thresholds as before (a quarter and an eighth of the memory limit), though other kinds now count against them. The counters have a gauge for each kind, and a log line names the kinds when the account is used up.

A line buffer is no longer kept from one message to the next. buffered_bytes means what it did.

Tests: the test of the budget is that of the account, with the same numbers; what is kept of heads is left out of its limit on bodies.

--- a/cmd/salttrack/memory_limits_test.go
+++ b/cmd/salttrack/memory_limits_test.go
@@ -247,8 +247,8 @@
 	p.expectStatus("read", "afterwards", 200)
 	p.terminate()
 	p.expectNothingInFlight()
-	if buffered := p.latestCounters()("buffered_bytes"); buffered != 0 {
-		t.Errorf("%d bytes are still counted as buffered", buffered)
+	if left := p.latestCounters()("memory_bytes"); left != 0 {
+		t.Errorf("%d bytes are still counted", left)
 	}
 }
 
--- a/internal/bodystream/example_test.go
+++ b/internal/bodystream/example_test.go
@@ -9,7 +9,7 @@
 // The writer writes each part of the body as it receives it, and the reader consumes it.
 // In this example the writer runs in a loop; in salttrack both sides run as callbacks of the stream.
 func Example() {
-	pool := bodystream.NewBufferPool(1)
+	pool := bodystream.NewBufferPool(1, nil)
 	body := bodystream.New(pool, 11)
 	body.OnReadable(func() {
 		p := body.Peek()
--- a/internal/bodystream/pool.go
+++ b/internal/bodystream/pool.go
@@ -1,23 +1,29 @@
 package bodystream
 
+import "salttrack/internal/memory"
+
 // BufferSize is the size of a buffer in bytes.
 const BufferSize = 32 << 10
 
 // BufferPool lends buffers to streams, up to a limit. It is not safe for concurrent use: it belongs to one event loop.
 type BufferPool struct {
-	limit   int       // number of buffers that may be in use
-	inUse   int       // number of buffers that streams hold
-	free    [][]byte  // allocated buffers that no stream holds
-	waiting []*Stream // streams that wait for a buffer, the longest waiting first
+	account *memory.Account // counts the allocated buffers; nil for no limit
+	limit   int             // number of buffers that may be in use
+	inUse   int             // number of buffers that streams hold
+	free    [][]byte        // allocated buffers that no stream holds
+	waiting []*Stream       // streams that wait for a buffer, the longest waiting first
 }
 
-// NewBufferPool returns a pool with the given number of buffers, at least one. Each buffer is allocated when it is first needed.
-func NewBufferPool(buffers int) *BufferPool { return &BufferPool{limit: max(1, buffers)} }
+// NewBufferPool returns a pool with the given number of buffers, at least one. Each buffer is allocated when it is first needed,
+// and counted in the account.
+func NewBufferPool(buffers int, account *memory.Account) *BufferPool {
+	return &BufferPool{limit: max(1, buffers), account: account}
+}
 
 // SetLimit changes the number of buffers. If more are in use, they stay with their streams and are freed when they are returned.
 func (p *BufferPool) SetLimit(buffers int) {
 	p.limit = max(1, buffers)
-	p.free = p.free[:min(len(p.free), p.limit)]
+	p.keepFree(p.limit - p.inUse)
 	p.notifyWaiting()
 }
 
@@ -35,18 +41,34 @@
 		p.free = p.free[:n-1]
 		return buffer
 	}
+	p.account.Add(memory.Streams, BufferSize)
 	return make([]byte, BufferSize)
 }
 
-// put returns a buffer to the pool and notifies waiting streams.
+// put returns a buffer to the pool and notifies waiting streams. Buffers that no stream holds are kept while there is memory.
 func (p *BufferPool) put(buffer []byte) {
 	p.inUse--
-	if p.inUse+len(p.free) < p.limit {
-		p.free = append(p.free, buffer)
+	p.free = append(p.free, buffer)
+	if p.account.Full(memory.Bodies) {
+		p.keepFree(0)
 	}
+	p.keepFree(p.limit - p.inUse)
 	p.notifyWaiting()
 }
 
+// Release frees the buffers that no stream holds.
+func (p *BufferPool) Release() { p.keepFree(0) }
+
+// keepFree frees the buffers that no stream holds, except for a number of them.
+func (p *BufferPool) keepFree(buffers int) {
+	for len(p.free) > max(0, buffers) {
+		last := len(p.free) - 1
+		p.free[last] = nil
+		p.free = p.free[:last]
+		p.account.Add(memory.Streams, -BufferSize)
+	}
+}
+
 // enqueue adds a stream to the end of the queue for buffers.
 func (p *BufferPool) enqueue(s *Stream) { p.waiting = append(p.waiting, s) }
 
--- a/internal/bodystream/pool_test.go
+++ b/internal/bodystream/pool_test.go
@@ -10,7 +10,7 @@
 		"aborted":   (*Stream).Abort,
 		"abandoned": (*Stream).Abandon,
 	} {
-		p := NewBufferPool(1)
+		p := NewBufferPool(1, nil)
 		first, second := New(p, -1), New(p, -1)
 		notified := 0
 		second.OnWritable(func() { notified++ })
--- a/internal/bodystream/stream_test.go
+++ b/internal/bodystream/stream_test.go
@@ -60,7 +60,7 @@
 func TestStreams(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		buffers := rapid.IntRange(1, 3).Draw(t, "buffers")
-		p := NewBufferPool(buffers)
+		p := NewBufferPool(buffers, nil)
 		var streams []*stream
 		for range rapid.IntRange(1, 4).Draw(t, "streams") {
 			streams = append(streams, newStream(t, p))
@@ -99,7 +99,7 @@
 
 // Guards against streams that stand still: a stream whose reader is blocked must not hold a buffer that another one needs.
 func TestBlockedReaderHoldsNoBuffer(t *testing.T) {
-	p := NewBufferPool(1)
+	p := NewBufferPool(1, nil)
 	blocked, other := New(p, -1), New(p, -1)
 	notified := 0
 	blocked.OnWritable(func() { notified++ })
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -5,6 +5,7 @@
 	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
 	"salttrack/internal/invariant"
+	"salttrack/internal/memory"
 	"salttrack/internal/timer"
 	"salttrack/internal/trace"
 )
@@ -53,7 +54,8 @@
 	c.reader.conn = c
 	c.reader.unread.conn = c
 	c.reader.decoder = http1.NewRequestDecoder()
-	c.reader.decoder.LimitBuffer(s.Budget)
+	c.reader.decoder.CountMemory(s.Memory)
+	s.Memory.Add(memory.Connections, connectionBytes)
 	c.requestStream.conn = c
 	c.pending.conn = c
 	c.writer.conn = c
@@ -151,7 +153,6 @@
 		c.server.Trace.Write(trace.ConnectionClosed, trace.Event{Connection: c.fd, Request: c.pending.requestID(), Reason: reason})
 	}
 	c.stopReading()
-	c.reader.release()
 	c.requestStream.stopDeadlineCheck()
 	c.server.Loop.Close(c.fd)
 	c.unregister()
@@ -162,6 +163,9 @@
 func (c *conn) unregister() {
 	c.stopReading()
 	delete(c.server.conns, c)
+	c.server.Memory.Add(memory.Connections, -connectionBytes)
+	c.reader.release()
+	c.writer.setUnsent(nil)
 	if c.overflow {
 		c.server.overflowConns--
 	} else {
--- a/internal/downstream/helpers_test.go
+++ b/internal/downstream/helpers_test.go
@@ -64,7 +64,7 @@
 	s.server = NewServer(Options{
 		Loop:          s.Loop,
 		Descriptors:   loop.NewDescriptorLimiter(descriptors),
-		Buffers:       bodystream.NewBufferPool(8),
+		Buffers:       bodystream.NewBufferPool(8, nil),
 		OverflowLimit: overflowLimit,
 		Counters:      &s.Count,
 		Synced:        func() bool { return true },
--- a/internal/downstream/limits.go
+++ b/internal/downstream/limits.go
@@ -49,10 +49,14 @@
 const (
 	readBufferBytes         = 16 << 10 // size of the read buffer in bytes
 	maxRequestsPerResume    = 64       // maximum number of requests that were read before and are decoded in one turn of the event loop
+	shortReadBytes          = 4 << 10  // size of a read in bytes while bodies are not buffered for lack of memory
 	maxReadsPerTurn         = 16       // maximum number of reads from one connection in one turn of the event loop
 	minBodyBytesPerInterval = 16 << 10 // bytes of a body that a client has to send in each bodyProgressInterval
 )
 
+// connectionBytes is about the memory of a connection without a request, in bytes: its state, its decoder, its timer and its watch.
+const connectionBytes = 1 << 10
+
 // Limits on accepting connections.
 const (
 	maxAcceptsPerTurn    = 256     // maximum number of connections that are accepted in one turn of the event loop
--- a/internal/downstream/read_ahead.go
+++ b/internal/downstream/read_ahead.go
@@ -5,6 +5,7 @@
 
 	"salttrack/balance"
 	"salttrack/internal/loop"
+	"salttrack/internal/memory"
 )
 
 // maxReadAheadBytes is the number of bytes that are read behind a request before its response is sent. A client that closes its
@@ -20,7 +21,7 @@
 type unreadInput struct {
 	conn     *conn
 	bytes    []byte
-	memory   int       // bytes of memory that they keep in use, counted against the budget
+	size     int       // bytes of memory that they keep in use, counted in the account
 	arrivals []arrival // of the bytes, in order
 }
 
@@ -31,19 +32,19 @@
 }
 
 // take returns the bytes and the memory that they keep in use, which the caller has to count from now on.
-func (u *unreadInput) take() (p []byte, memory int) {
-	p, memory = u.bytes, u.memory
+func (u *unreadInput) take() (p []byte, size int) {
+	p, size = u.bytes, u.size
 	u.replace(nil, 0)
-	return p, memory
+	return p, size
 }
 
 // replace replaces the bytes. Their arrivals stay.
-func (u *unreadInput) replace(p []byte, memory int) {
+func (u *unreadInput) replace(p []byte, size int) {
 	if len(p) == 0 {
-		p, memory = nil, 0
+		p, size = nil, 0
 	}
-	u.conn.server.Budget.Add(memory - u.memory)
-	u.bytes, u.memory = p, memory
+	u.conn.server.Memory.Add(memory.ReadAhead, size-u.size)
+	u.bytes, u.size = p, size
 }
 
 // append adds a copy of bytes that may have arrived at a time or later.
@@ -52,7 +53,7 @@
 		return
 	}
 	joined := append(u.bytes, p...)
-	u.replace(joined, max(u.memory, cap(joined)))
+	u.replace(joined, max(u.size, cap(joined)))
 	if last := len(u.arrivals) - 1; last >= 0 && at-u.arrivals[last].at < arrivalResolution {
 		u.arrivals[last].bytes += len(p)
 		return
@@ -88,7 +89,7 @@
 	c := u.conn
 	for range maxReadsPerTurn {
 		space := maxReadAheadBytes - len(u.bytes)
-		if space <= 0 || c.server.Budget.HalfUsed() {
+		if space <= 0 || c.server.Memory.Full(memory.ReadAhead) {
 			c.server.Loop.Watch(c.fd, loop.HangUp)
 			return
 		}
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -9,6 +9,7 @@
 	"salttrack/balance"
 	"salttrack/internal/http1"
 	"salttrack/internal/loop"
+	"salttrack/internal/memory"
 	"salttrack/internal/timer"
 )
 
@@ -77,7 +78,7 @@
 	c := r.conn
 	count := r.requestCount
 	for i := 0; i < maxReadsPerTurn && r.listElement != nil && r.requestCount == count; i++ {
-		n, err := c.server.Loop.Read(c.fd, c.server.Budget.ReadBuffer(c.server.readBuffer))
+		n, err := c.server.Loop.Read(c.fd, c.server.nextRead())
 		switch {
 		case err == unix.EAGAIN:
 			return
@@ -133,18 +134,26 @@
 
 // decodeOwned decodes bytes that the connection owns. It does not copy the bytes after a complete request, which keep the whole
 // memory in use.
-func (r *requestReader) decodeOwned(p []byte, memory int) {
+func (r *requestReader) decodeOwned(p []byte, size int) {
 	if n, complete := r.decode(p); complete {
-		r.unread.replace(p[n:], memory)
+		r.unread.replace(p[n:], size)
 		r.dispatch()
 	}
 }
 
-// release returns the memory of a connection that is closed to the budget.
+// release frees the memory of a connection that is closed.
 func (r *requestReader) release() {
 	r.conn.server.Loop.Timers.Stop(r.resumeTimer)
 	r.unread.clear()
-	r.decoder.ReleaseBody()
+	r.decoder.Release()
+}
+
+// nextRead returns the part of the read buffer that the next read of a request may fill.
+func (s *Server) nextRead() []byte {
+	if s.Memory.Full(memory.Bodies) {
+		return s.readBuffer[:shortReadBytes]
+	}
+	return s.readBuffer
 }
 
 // decode decodes bytes of a request.
--- a/internal/downstream/response.go
+++ b/internal/downstream/response.go
@@ -6,12 +6,14 @@
 	"salttrack/internal/http1"
 	"salttrack/internal/invariant"
 	"salttrack/internal/loop"
+	"salttrack/internal/memory"
 )
 
 // responseWriter is the state of a connection on which a response with a complete body is being written.
 type responseWriter struct {
 	conn       *conn
 	unsent     []byte // unsent bytes of the response, or of the head of a streamed response
+	size       int    // bytes of memory that they keep in use, counted in the account
 	closeAfter bool   // the connection ends after the current response
 	writing    bool   // a call of write is running
 }
@@ -32,7 +34,7 @@
 	w.closeAfter = w.closeAfter || head.Close || c.shouldClose()
 	head.Close = w.closeAfter
 	c.server.counters.responses[head.Status].Inc()
-	w.unsent = http1.AppendResponse(c.reader.takeUnsentContinue(), head, body)
+	w.setUnsent(http1.AppendResponse(c.reader.takeUnsentContinue(), head, body))
 	c.state = w
 	c.startTimer(responseWriteTimeout, w.timedOut)
 	w.write()
@@ -84,7 +86,7 @@
 	if !complete || c.closed() {
 		return
 	}
-	w.unsent = nil
+	w.setUnsent(nil)
 	c.responded = true
 	if w.closeAfter {
 		c.linger.start()
@@ -95,6 +97,12 @@
 	c.reader.resume()
 }
 
+// setUnsent replaces the unsent bytes.
+func (w *responseWriter) setUnsent(p []byte) {
+	w.conn.server.Memory.Add(memory.Responses, cap(p)-w.size)
+	w.unsent, w.size = p, cap(p)
+}
+
 // next returns the next bytes to write. They are empty if no more bytes of the response are available.
 func (w *responseWriter) next() []byte {
 	if len(w.unsent) > 0 || !w.conn.responseStream.active() {
@@ -129,7 +137,7 @@
 	if len(w.unsent) > 0 {
 		w.unsent = w.unsent[n:]
 		if 0 < len(w.unsent) && len(w.unsent) <= n { // a client that reads slowly must not keep the memory of the sent part in use
-			w.unsent = bytes.Clone(w.unsent)
+			w.setUnsent(bytes.Clone(w.unsent))
 		}
 	} else {
 		stream.encoder.Advance(n)
--- a/internal/downstream/response_stream.go
+++ b/internal/downstream/response_stream.go
@@ -37,7 +37,7 @@
 	c.writer.closeAfter = c.writer.closeAfter || c.shouldClose() || unknownLength && r.HTTP10
 	c.server.counters.responses[http1.StatusOK].Inc()
 	head := http1.StreamedResponseHead{ContentLength: stream.Length, Chunked: chunked, Close: c.writer.closeAfter}
-	c.writer.unsent = http1.AppendStreamedResponseHead(c.reader.takeUnsentContinue(), head)
+	c.writer.setUnsent(http1.AppendStreamedResponseHead(c.reader.takeUnsentContinue(), head))
 	c.state = s
 	s.stream = stream
 	s.encoder = http1.NewBodyEncoder(stream, chunked)
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -15,8 +15,8 @@
 	"salttrack/internal/bodystream"
 	"salttrack/internal/counter"
 	"salttrack/internal/exchange"
-	"salttrack/internal/http1"
 	"salttrack/internal/loop"
+	"salttrack/internal/memory"
 	"salttrack/internal/replay"
 	"salttrack/internal/shutdown"
 	"salttrack/internal/timer"
@@ -46,7 +46,7 @@
 	OverflowLimit int // maximum number of overflow connections
 	Counters      *counter.Set
 	Buffers       *bodystream.BufferPool // buffers for streamed bodies
-	Budget        *http1.BufferBudget    // limits the buffered bodies of requests; nil for no limit
+	Memory        *memory.Account        // counts the memory of connections and requests; nil for no limit
 	ExecutedIDs   *replay.Cache          // ids of requests that may have run and must not run again; nil if they are not checked
 	Synced        func() bool            // reports whether the endpoint list and the overrides are known
 	Trace         *trace.Tracer          // nil disables tracing
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -11,6 +11,7 @@
 	"salttrack/balance"
 	"salttrack/internal/counter"
 	"salttrack/internal/exchange"
+	"salttrack/internal/memory"
 	"salttrack/internal/timer"
 	"salttrack/internal/trace"
 )
@@ -29,6 +30,9 @@
 	CancelUnsent(balance.UpstreamID)
 }
 
+// exchangeBytes is about the memory of an exchange in bytes: its state here and in package balance, one attempt, and their timers.
+const exchangeBytes = 2 << 10
+
 // Options holds the configuration and the dependencies of a Driver.
 type Options struct {
 	Config    balance.Config
@@ -36,6 +40,7 @@
 	Now       func() balance.Millis // returns the time of a monotonic clock, in ms
 	Timers    *timer.Heap           // timers of the event loop, by the same clock as Now
 	Upstreams Upstreams
+	Memory    *memory.Account // counts the exchanges; nil for no limit
 	Counters  *counter.Set
 	Trace     *trace.Tracer // writes trace events of requests; nil disables tracing
 }
@@ -45,6 +50,7 @@
 	now       func() balance.Millis
 	timers    *timer.Heap
 	upstreams Upstreams
+	memory    *memory.Account
 	tracer    *trace.Tracer
 	counters  counters
 
@@ -70,6 +76,7 @@
 		now:              o.Now,
 		timers:           o.Timers,
 		upstreams:        o.Upstreams,
+		memory:           o.Memory,
 		tracer:           o.Trace,
 		classes:          o.Config.Classes,
 		ready:            map[balance.UpstreamID]bool{},
--- a/internal/driver/events.go
+++ b/internal/driver/events.go
@@ -5,6 +5,7 @@
 	"salttrack/internal/bodystream"
 	"salttrack/internal/exchange"
 	"salttrack/internal/invariant"
+	"salttrack/internal/memory"
 	"salttrack/internal/trace"
 )
 
@@ -12,6 +13,7 @@
 func (d *Driver) HandleRequest(x *exchange.Exchange) {
 	x.ID = d.nextRequestID()
 	d.exchanges[x.ID] = x
+	d.memory.Add(memory.Requests, exchangeBytes)
 	x.ClassRules = &d.classes[x.Class]
 	x.RespondBy = min(x.RespondBy, d.shutdownDeadline)
 	d.counters.accepted.Inc()
@@ -158,6 +160,7 @@
 func (d *Driver) removeFinished(x *exchange.Exchange) {
 	if x.Finished() && d.exchanges[x.ID] == x {
 		delete(d.exchanges, x.ID)
+		d.memory.Add(memory.Requests, -exchangeBytes)
 		invariant.Check(len(d.exchanges) >= d.InProgress(), "the driver holds every exchange in progress")
 	}
 }
--- a/internal/driver/helpers_test.go
+++ b/internal/driver/helpers_test.go
@@ -108,7 +108,7 @@
 	if !f.stillSending {
 		return false
 	}
-	f.driver.ResponseStarted(a, bodystream.New(bodystream.NewBufferPool(1), -1))
+	f.driver.ResponseStarted(a, bodystream.New(bodystream.NewBufferPool(1, nil), -1))
 	return true
 }
 
--- a/internal/driver/requests_test.go
+++ b/internal/driver/requests_test.go
@@ -138,7 +138,7 @@
 	a := f.inFlight[0]
 	f.onRespond = func() { f.end(a, balance.Cancelled, "") }
 	violations := invariant.Violations()
-	f.driver.ResponseStarted(a, bodystream.New(bodystream.NewBufferPool(1), -1))
+	f.driver.ResponseStarted(a, bodystream.New(bodystream.NewBufferPool(1, nil), -1))
 	if n := invariant.Violations() - violations; n != 0 || f.disposition(x) != exchange.Served || f.driver.Exchanges() != 0 {
 		t.Errorf("%d violations, disposition %v, %d exchanges left", n, f.disposition(x), f.driver.Exchanges())
 	}
--- a/internal/http1/buffer_budget_test.go
+++ b/internal/http1/account_test.go
@@ -3,18 +3,21 @@
 import (
 	"strings"
 	"testing"
+
+	"salttrack/internal/memory"
 )
 
-// Guards against more memory than the limit: bodies that are buffered together are limited by a budget. The one that exceeds it
+// Guards against more memory than the limit: bodies that are buffered together are limited by the account. The one that exceeds it
 // is streamed, and all memory is returned when the bodies end.
-func TestBufferBudget(t *testing.T) {
+func TestBodiesAreStreamedWithoutMemory(t *testing.T) {
 	const length = 40 << 10
 	head := "POST /pay/x HTTP/1.1\r\nContent-Length: 40960\r\n\r\n"
-	budget := NewBufferBudget(2 * length)
+	const heads = 1 << 10                            // for what is kept of the heads, in bytes
+	account := memory.NewAccount(4*length + 2*heads) // bodies are buffered up to half of it
 	var decoders []*RequestDecoder
 	for n := range 4 {
 		d := NewRequestDecoder()
-		d.LimitBuffer(budget)
+		d.CountMemory(account)
 		decoders = append(decoders, d)
 		if _, err := d.Feed([]byte(head + strings.Repeat("a", length-1))); err != nil {
 			t.Fatal(err)
@@ -30,26 +33,26 @@
 			t.Errorf("body %d is incomplete: %v", n, err)
 		}
 	}
-	if budget.Used() > budget.limit {
-		t.Errorf("%d bytes are buffered, the limit is %d", budget.Used(), budget.limit)
+	if bodies := account.Used(memory.Bodies); bodies > 2*length {
+		t.Errorf("%d bytes are buffered, the limit is %d", bodies, 2*length)
 	}
 	decoders[0].Reset()
 	for _, d := range decoders[1:] {
-		d.ReleaseBody()
+		d.Release()
 	}
-	if budget.Used() != 0 {
-		t.Errorf("%d bytes are not returned", budget.Used())
+	if account.Total() != 0 {
+		t.Errorf("%d bytes are not returned", account.Total())
 	}
 }
 
-// While the budget is used up, a body that is complete or short is buffered nevertheless: streaming it would save no memory.
-func TestBufferBudgetOfShortBodies(t *testing.T) {
+// While the account is full, a body that is complete or short is buffered nevertheless: streaming it would save no memory.
+func TestShortBodiesAreBufferedWithoutMemory(t *testing.T) {
 	for _, request := range []string{
 		"POST /pay/x HTTP/1.1\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("a", 20000),
 		"POST /pay/x HTTP/1.1\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("a", minStreamedBodyBytes),
 	} {
 		d := NewRequestDecoder()
-		d.LimitBuffer(NewBufferBudget(0))
+		d.CountMemory(memory.NewAccount(0))
 		if _, err := d.Feed([]byte(request)); err != nil || d.NeedsStreaming() {
 			t.Errorf("a body of which %d bytes are received is streamed, or %v", d.bodyBytes, err)
 		}
--- a/internal/http1/decoder.go
+++ b/internal/http1/decoder.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"strings"
+
+	"salttrack/internal/memory"
 )
 
 // state is the part of a message that a decoder expects next.
@@ -48,25 +50,19 @@
 	remaining     int64              // bytes that are missing of a body with Content-Length, or of the current chunk
 	bodyBytes     int64              // bytes received of the body; not counted if there is a sink
 	body          []byte             // buffered body
-	budget        *BufferBudget      // counts the capacity of body; nil for no limit
+	account       *memory.Account    // counts the memory of the decoder; nil for no limit
+	headBytes     int                // memory of partialLine and of the values that are kept of a head, counted in the account
 	exceedsBuffer bool               // the body exceeds MaxBufferedBodyBytes
-	overBudget    bool               // the body was not short when the budget was exceeded
+	lacksMemory   bool               // the body was not short when the account had no more memory for it
 	sink          func([]byte) error // if not nil, receives the whole body of every message, of any length, in place of body
 	stream        func([]byte)       // if not nil, receives the rest of a streamed body in place of body
 }
 
-// maxRetainedLineBytes is the largest capacity in bytes of a line buffer that is reused for the next message.
-const maxRetainedLineBytes = 1024
-
 // reset prepares the decoder for the next message.
 func (d *decoder) reset() {
-	if cap(d.partialLine) > maxRetainedLineBytes {
-		d.partialLine = nil
-	}
-	d.ReleaseBody()
+	d.Release()
 	*d = decoder{
-		partialLine: d.partialLine[:0],
-		budget:      d.budget,
+		account:     d.account,
 		sink:        d.sink,
 		strictLines: d.strictLines,
 		framing:     framing{contentLength: -1},
@@ -84,34 +80,48 @@
 // InBody reports whether the head is complete and the body is incomplete.
 func (d *decoder) InBody() bool { return d.state > stateFields && d.state != stateComplete }
 
-// LimitBuffer counts the buffered bodies of the decoder against a budget, nil for no limit. It is called before the first Feed.
-func (d *decoder) LimitBuffer(budget *BufferBudget) { d.budget = budget }
+// CountMemory counts the memory of the decoder in an account, nil for no limit. It is called before the first Feed.
+func (d *decoder) CountMemory(account *memory.Account) { d.account = account }
 
 // NeedsStreaming reports whether the body is not streamed yet, although it exceeds MaxBufferedBodyBytes, or is incomplete and
-// exceeds the budget. The caller has to call StreamBodyTo before it feeds more bytes.
+// there is no memory to buffer it. The caller has to call StreamBodyTo before it feeds more bytes.
 func (d *decoder) NeedsStreaming() bool {
-	return d.stream == nil && (d.exceedsBuffer || d.overBudget && !d.Complete())
+	return d.stream == nil && (d.exceedsBuffer || d.lacksMemory && !d.Complete())
 }
 
 // ContentLength returns the value of the field Content-Length in bytes, -1 if the message has none.
 func (d *decoder) ContentLength() int64 { return d.framing.contentLength }
 
 // StreamBodyTo makes the decoder pass the rest of the body to a function as it is received.
-// It returns the bytes of the body that have been received before, and a function that returns their memory to the budget.
+// It returns the bytes of the body that have been received before, and a function that has to be called when they are no
+// longer used.
 func (d *decoder) StreamBodyTo(stream func([]byte)) (received []byte, release func()) {
 	received = d.body
 	d.body = nil
 	d.stream = stream
-	budget, memory := d.budget, cap(received)
-	return received, func() { budget.Add(-memory) }
+	account, size := d.account, cap(received)
+	return received, func() { account.Add(memory.Bodies, -size) }
 }
 
-// ReleaseBody removes the buffered body from the decoder, and from the budget. A decoder that is no longer used must not keep one.
+// ReleaseBody removes the buffered body from the decoder.
 func (d *decoder) ReleaseBody() {
-	d.budget.Add(-cap(d.body))
+	d.account.Add(memory.Bodies, -cap(d.body))
 	d.body = nil
 }
 
+// Release removes everything that the decoder holds of a message. It is called when the decoder is no longer used.
+func (d *decoder) Release() {
+	d.ReleaseBody()
+	d.countHead(-d.headBytes)
+	d.partialLine = nil
+}
+
+// countHead records that the memory of the head has grown by a number of bytes, which may be negative.
+func (d *decoder) countHead(bytes int) {
+	d.headBytes += bytes
+	d.account.Add(memory.Heads, bytes)
+}
+
 // feed decodes bytes until the message is complete. It returns the number of bytes consumed.
 func (d *decoder) feed(p []byte, h headParser) (consumed int, err error) {
 	for d.state != stateComplete && consumed < len(p) {
@@ -178,11 +188,11 @@
 		}
 		grown := make([]byte, len(d.body), max(length, min(2*cap(d.body), largest)))
 		copy(grown, d.body)
-		d.budget.Add(cap(grown) - cap(d.body))
+		d.account.Add(memory.Bodies, cap(grown)-cap(d.body))
 		d.body = grown
 	}
 	d.body = append(d.body, p...)
-	d.overBudget = d.overBudget || length > minStreamedBodyBytes && d.budget.Exceeded()
+	d.lacksMemory = d.lacksMemory || length > minStreamedBodyBytes && d.account.Full(memory.Bodies)
 }
 
 // feedLine decodes bytes of one line and parses the line when it is complete.
@@ -198,13 +208,13 @@
 	}
 	line := p[:n]
 	if end < 0 || len(d.partialLine) > 0 {
-		d.partialLine = append(d.partialLine, line...)
+		d.appendLine(line)
 		line = d.partialLine
 	}
 	if end < 0 {
 		return n, nil
 	}
-	d.partialLine = d.partialLine[:0]
+	d.releaseLine()
 	line, hasCR := bytes.CutSuffix(line[:len(line)-1], []byte("\r"))
 	if !hasCR && (d.strictLines || d.state > stateFields) { // other parsers may not end the line here (RFC 9112, 2.2 and 7.1)
 		return n, errBareLF
@@ -212,6 +222,26 @@
 	return n, d.parseLine(line, h)
 }
 
+// maxRetainedLineBytes is the largest capacity in bytes of a line buffer that is reused for the next line of a message.
+const maxRetainedLineBytes = 1024
+
+// appendLine appends bytes to the incomplete line.
+func (d *decoder) appendLine(p []byte) {
+	before := cap(d.partialLine)
+	d.partialLine = append(d.partialLine, p...)
+	d.countHead(cap(d.partialLine) - before)
+}
+
+// releaseLine removes the complete line. The caller may still use it.
+func (d *decoder) releaseLine() {
+	if cap(d.partialLine) <= maxRetainedLineBytes {
+		d.partialLine = d.partialLine[:0]
+		return
+	}
+	d.countHead(-cap(d.partialLine))
+	d.partialLine = nil
+}
+
 // parseLine parses a line, which is given without its line end.
 func (d *decoder) parseLine(line []byte, h headParser) error {
 	if hasControlCharacter(line) {
--- a/internal/http1/golden_test.go
+++ b/internal/http1/golden_test.go
@@ -55,7 +55,7 @@
 		{"known length", 9, "Content-Length: 9\r\n\r\nfirstrest"},
 		{"chunked", -1, "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n4\r\nrest\r\n0\r\n\r\n"},
 	} {
-		stream := bodystream.New(bodystream.NewBufferPool(1), tt.length)
+		stream := bodystream.New(bodystream.NewBufferPool(1, nil), tt.length)
 		stream.Prepend([]byte("first"), nil)
 		r := Request{Method: "POST", Target: "/pay", ID: "1", Class: "pay", Stream: stream}
 		got := string(AppendRequest(nil, &r, "h:1", 1500))
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -9,7 +9,7 @@
 const (
 	MaxHeadBytes         = 16 << 10 // size of a head; also of the lines that frame one chunk, and of the trailer section
 	MaxBufferedBodyBytes = 64 << 10 // size of a buffered body; longer bodies are streamed
-	minStreamedBodyBytes = 4 << 10  // length up to which an incomplete body is buffered although the budget is exceeded
+	minStreamedBodyBytes = 4 << 10  // length up to which an incomplete body is buffered although there is no memory to buffer longer ones
 	MaxBodyBytes         = 33 << 20 // size of any body, except one that is passed to a sink
 )
 
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -103,6 +103,7 @@
 	d.persistence.minorVersion = minor
 	d.request.Method = string(method)
 	d.request.Target = string(target)
+	d.countHead(len(method) + len(target))
 	return nil
 }
 
@@ -112,13 +113,13 @@
 	r := &d.request
 	switch {
 	case equalFold(name, fieldRequestID):
-		return setText(&r.ID, fieldRequestID, value, '!')
+		return d.setText(&r.ID, fieldRequestID, value, '!')
 	case equalFold(name, fieldClass):
-		return setText(&r.Class, fieldClass, value, '!')
+		return d.setText(&r.Class, fieldClass, value, '!')
 	case equalFold(name, fieldIdempotencyKey):
-		return setText(&r.IdempotencyKey, fieldIdempotencyKey, value, '!')
+		return d.setText(&r.IdempotencyKey, fieldIdempotencyKey, value, '!')
 	case equalFold(name, fieldLabels):
-		return setText(&r.Labels, fieldLabels, value, ' ')
+		return d.setText(&r.Labels, fieldLabels, value, ' ')
 	case equalFold(name, fieldRemaining):
 		return d.setRemaining(value)
 	case equalFold(name, fieldRetried):
@@ -136,14 +137,18 @@
 
 // setText sets a text field. The field may be repeated only with the same value.
 // Its characters must be ASCII between lowest and '~', both included.
-func setText(text *string, name string, value []byte, lowest byte) error {
-	if *text != "" && *text != string(value) {
+func (d *RequestDecoder) setText(text *string, name string, value []byte, lowest byte) error {
+	if *text == string(value) {
+		return nil
+	}
+	if *text != "" {
 		return repeated(name)
 	}
 	if !isPrintable(value, lowest) {
 		return malformed(name)
 	}
 	*text = string(value)
+	d.countHead(len(value))
 	return nil
 }
 
--- a/internal/node/activity.go
+++ b/internal/node/activity.go
@@ -35,6 +35,7 @@
 	Connections int // open connections to clients and upstreams
 	Timers      int // pending timers, without those of the balancing decisions
 	Watches     int // descriptors that the event loop watches
+	Memory      int // bytes in the memory account
 }
 
 // Unreleased returns the resources that the balancer holds.
@@ -44,6 +45,7 @@
 		Connections: n.descriptors.InUse(),
 		Timers:      n.loop.Timers.Len() - n.driver.PendingTimers(),
 		Watches:     n.loop.Watched(),
+		Memory:      n.memory.Total(),
 	}
 }
 
@@ -60,6 +62,7 @@
 		{"attempts", u.Attempts},
 		{"timers", u.Timers},
 		{"watches", u.Watches},
+		{"bytes", u.Memory},
 	} {
 		if part.count != 0 {
 			parts = append(parts, fmt.Sprintf("%d %s", part.count, part.name))
--- /dev/null
+++ b/internal/node/memory.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"salttrack/balance"
+	"salttrack/internal/memory"
+)
+
+// memoryLogInterval is the shortest time between two log lines about the memory, in ms.
+const memoryLogInterval balance.Millis = 1000
+
+// registerMemoryGauges adds the gauges of the memory account.
+func (n *Node) registerMemoryGauges() {
+	n.Counters.Gauge("buffered_bytes", func() uint64 {
+		return uint64(n.memory.Used(memory.Bodies) + n.memory.Used(memory.ReadAhead))
+	})
+	n.Counters.Gauge("memory_limit_bytes", func() uint64 { return uint64(n.memory.Limit()) })
+	n.Counters.Gauge("memory_bytes", func() uint64 { return uint64(n.memory.Total()) })
+	for _, kind := range memory.Kinds() {
+		n.Counters.Gauge("memory_"+kind.String()+"_bytes", func() uint64 { return uint64(n.memory.Used(kind)) })
+	}
+}
+
+// logMemory logs what the memory of the account is used for. A process that is killed for its memory logs no counters.
+func (n *Node) logMemory() {
+	now := n.loop.Now()
+	if now < n.nextMemoryLog {
+		return
+	}
+	n.nextMemoryLog = now + memoryLogInterval
+	n.log.WithField("memory", n.memory.String()).Warn("memory for peers used up, rejecting requests")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,9 +14,9 @@
 	"salttrack/internal/discovery"
 	"salttrack/internal/downstream"
 	"salttrack/internal/driver"
-	"salttrack/internal/http1"
 	"salttrack/internal/invariant"
 	"salttrack/internal/loop"
+	"salttrack/internal/memory"
 	"salttrack/internal/replay"
 	"salttrack/internal/settings"
 	"salttrack/internal/trace"
@@ -40,17 +40,19 @@
 	log      *logrus.Entry
 	started  balance.Millis
 
-	loop         *loop.Loop
-	bodyBuffers  *bodystream.BufferPool
-	bufferBudget *http1.BufferBudget
-	descriptors  *loop.DescriptorLimiter
-	registry     *discovery.Registry
-	endpoints    *discovery.Watcher
-	driver       *driver.Driver
-	server       *downstream.Server
-	pool         *upstream.Pool
-	admin        *admin.Server // nil if no admin server is configured
-	peers        *peerSync     // nil if hot restart is disabled
+	loop        *loop.Loop
+	bodyBuffers *bodystream.BufferPool
+	memory      *memory.Account
+	descriptors *loop.DescriptorLimiter
+	registry    *discovery.Registry
+	endpoints   *discovery.Watcher
+	driver      *driver.Driver
+	server      *downstream.Server
+	pool        *upstream.Pool
+	admin       *admin.Server // nil if no admin server is configured
+	peers       *peerSync     // nil if hot restart is disabled
+
+	nextMemoryLog balance.Millis // earliest time of the next log line about the memory
 
 	listening    bool // whether the balancer listens for clients
 	shuttingDown bool
@@ -75,8 +77,9 @@
 	n.Trace.UpstreamName = n.registry.Name
 	r := c.splitResources(fullShare)
 	n.descriptors = loop.NewDescriptorLimiter(r.connections)
-	n.bodyBuffers = bodystream.NewBufferPool(r.bodyBuffers)
-	n.bufferBudget = http1.NewBufferBudget(r.bufferedBytes)
+	n.memory = memory.NewAccount(r.accountBytes)
+	n.memory.OnFull(n.logMemory)
+	n.bodyBuffers = bodystream.NewBufferPool(r.bodyBuffers, n.memory)
 	n.endpoints = discovery.NewWatcher(discovery.Options{
 		Loop:     l,
 		Address:  c.Discovery,
@@ -102,7 +105,7 @@
 		OverflowLimit: r.overflowConnections,
 		Counters:      &n.Counters,
 		Buffers:       n.bodyBuffers,
-		Budget:        n.bufferBudget,
+		Memory:        n.memory,
 		ExecutedIDs:   replay.New(make([]byte, replay.Size), n.loop.Now),
 		Synced:        n.synced,
 		Trace:         n.Trace,
@@ -113,7 +116,7 @@
 		Loop:           n.loop,
 		Descriptors:    n.descriptors,
 		Buffers:        n.bodyBuffers,
-		Budget:         n.bufferBudget,
+		Memory:         n.memory,
 		Counters:       &n.Counters,
 		ConnectTimeout: n.settings.ConnectTimeout,
 		KeepAlive:      n.settings.KeepAlive,
@@ -126,6 +129,7 @@
 		Now:       n.loop.Now,
 		Timers:    &n.loop.Timers,
 		Upstreams: n.pool,
+		Memory:    n.memory,
 		Counters:  &n.Counters,
 		Trace:     n.Trace,
 	})
@@ -138,7 +142,7 @@
 	n.reloads = n.Counters.New("config_reloads")
 	n.failedReloads = n.Counters.New("config_reloads_failed")
 	n.Counters.Gauge("body_buffers_in_use", func() uint64 { return uint64(n.bodyBuffers.InUse()) })
-	n.Counters.Gauge("buffered_bytes", func() uint64 { return uint64(n.bufferBudget.Used()) })
+	n.registerMemoryGauges()
 	n.Counters.Gauge("connections_open", func() uint64 { return uint64(n.descriptors.InUse()) })
 	n.Counters.Gauge("invariant_violations", invariant.Violations)
 }
@@ -176,5 +180,6 @@
 	n.endpoints.Stop()
 	n.pool.Close()
 	n.driver.Close()
+	n.bodyBuffers.Release()
 	n.log.WithField("counters", n.Counters.String()).Info("balancer closed")
 }
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -9,7 +9,7 @@
 	maxAdminDescriptors    = 64    // descriptors of the admin server, for its listening socket and its connections
 	minConnections         = 8     // connections to clients and upstreams that are allowed under any limit
 	bodyBufferShare        = 0.125 // share of the memory that is used for buffers of streamed bodies
-	bufferedShare          = 0.25  // share of the memory that is used for bodies that are buffered as a whole
+	accountShare           = 0.5   // share of the memory that peers can make the process hold
 )
 
 // Divisors of the configured number of descriptors.
@@ -31,7 +31,7 @@
 	overflowConnections int // additional client connections, whose requests are rejected unless another descriptor becomes free
 	adminDescriptors    int // descriptors of the admin server, 0 if there is none
 	bodyBuffers         int // buffers of streamed bodies
-	bufferedBytes       int // memory of bodies that are buffered as a whole
+	accountBytes        int // memory that peers can make the process hold
 }
 
 // maxAdminConnections returns the maximum number of connections of the admin server. One descriptor is for its listening socket.
@@ -44,7 +44,7 @@
 	r := resources{
 		overflowConnections: min(maxOverflowConnections, descriptors/overflowDivisor),
 		bodyBuffers:         int(memory * bodyBufferShare / bodystream.BufferSize),
-		bufferedBytes:       int(memory * bufferedShare),
+		accountBytes:        int(memory * accountShare),
 	}
 	if c.Admin.IsValid() {
 		r.adminDescriptors = min(maxAdminDescriptors, descriptors/adminDivisor)
@@ -63,5 +63,5 @@
 	}
 	n.descriptors.SetLimit(r.connections)
 	n.bodyBuffers.SetLimit(r.bodyBuffers)
-	n.bufferBudget.SetLimit(r.bufferedBytes)
+	n.memory.SetLimit(r.accountBytes)
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,6 +7,7 @@
 	"salttrack/internal/http1"
 	"salttrack/internal/invariant"
 	"salttrack/internal/loop"
+	"salttrack/internal/memory"
 	"salttrack/internal/timer"
 	"salttrack/internal/trace"
 )
@@ -117,6 +118,7 @@
 	}
 	delete(c.pool.active, c.attempt)
 	c.attempt = nil
+	c.setBuffered(nil)
 	c.request = requestWriter{}
 	c.state = stateDetached
 	c.stopTimer()
@@ -146,7 +148,8 @@
 	}
 	c.leaveIdle()
 	c.stopTimer()
-	c.decoder.ReleaseBody()
+	c.decoder.Release()
+	p.memory.Add(memory.Connections, -connectionBytes)
 	p.loop.Close(c.fd)
 	p.quota.Release()
 	invariant.Check(p.quota.InUse() >= len(p.active)+p.idle.Len(), "each connection has a descriptor of the quota")
--- a/internal/upstream/connect.go
+++ b/internal/upstream/connect.go
@@ -12,6 +12,7 @@
 	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
 	"salttrack/internal/loop"
+	"salttrack/internal/memory"
 	"salttrack/internal/timer"
 	"salttrack/internal/trace"
 )
@@ -53,11 +54,12 @@
 		state:    stateConnecting,
 		decoder:  http1.NewResponseDecoder(nil),
 	}
-	c.decoder.LimitBuffer(p.budget)
+	c.decoder.CountMemory(p.memory)
 	if err := p.loop.Add(fd, loop.Readable|loop.Writable|loop.HangUp, c); err != nil {
 		p.loop.Close(fd)
 		return nil, err
 	}
+	p.memory.Add(memory.Connections, connectionBytes)
 	p.counters.connectionsOpened.Inc()
 	c.timer = p.loop.After(p.connectTimeout, func() {
 		p.counters.connectTimedOut.Inc()
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -65,7 +65,7 @@
 	r.pool = New(Options{
 		Loop:           r.Loop,
 		Descriptors:    loop.NewDescriptorLimiter(descriptors),
-		Buffers:        bodystream.NewBufferPool(8),
+		Buffers:        bodystream.NewBufferPool(8, nil),
 		Counters:       &r.Count,
 		ConnectTimeout: 250,
 		KeepAlive:      15000,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,8 +13,8 @@
 	"salttrack/internal/bodystream"
 	"salttrack/internal/counter"
 	"salttrack/internal/exchange"
-	"salttrack/internal/http1"
 	"salttrack/internal/loop"
+	"salttrack/internal/memory"
 	"salttrack/internal/trace"
 )
 
@@ -24,7 +24,12 @@
 // the pool's, when it sends its last response.
 const idleTimeoutShare = 0.9
 
-const readBufferSize = 64 << 10 // bytes
+// Sizes in bytes.
+const (
+	readBufferSize  = 64 << 10
+	shortReadSize   = 4 << 10 // of a read while bodies are not buffered for lack of memory
+	connectionBytes = 1 << 10 // about the memory of a connection: its state, its decoder, its timer and its watch
+)
 
 // AttemptListener is notified of the attempts of a pool.
 type AttemptListener interface {
@@ -41,7 +46,7 @@
 	Loop           *loop.Loop
 	Descriptors    *loop.DescriptorLimiter
 	Buffers        *bodystream.BufferPool
-	Budget         *http1.BufferBudget // limits the buffered bodies of responses; nil for no limit
+	Memory         *memory.Account // counts the memory of connections, requests and responses; nil for no limit
 	Counters       *counter.Set
 	ConnectTimeout balance.Millis
 	KeepAlive      balance.Millis // time after which upstreams close idle connections
@@ -53,7 +58,7 @@
 type Pool struct {
 	loop     *loop.Loop
 	buffers  *bodystream.BufferPool
-	budget   *http1.BufferBudget
+	memory   *memory.Account
 	quota    *loop.DescriptorQuota // has one descriptor for each connection and each pending connect
 	listener AttemptListener
 	trace    *trace.Tracer
@@ -91,7 +96,7 @@
 	p := &Pool{
 		loop:       o.Loop,
 		buffers:    o.Buffers,
-		budget:     o.Budget,
+		memory:     o.Memory,
 		trace:      o.Trace,
 		endpoints:  map[balance.UpstreamID]*endpoint{},
 		active:     map[*exchange.Attempt]*conn{},
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -4,11 +4,13 @@
 	"salttrack/internal/bodystream"
 	"salttrack/internal/http1"
 	"salttrack/internal/loop"
+	"salttrack/internal/memory"
 )
 
 // requestWriter holds the part of a request that is still to be sent.
 type requestWriter struct {
 	buffered []byte             // the header, and the body if it is not streamed
+	size     int                // bytes of memory that they keep in use, counted in the account
 	body     *http1.BodyEncoder // a streamed body; nil if there is none or all of it is sent
 	stream   *bodystream.Stream // the stream that body encodes
 }
@@ -34,7 +36,7 @@
 		deadline = c.attempt.Exchange.Deadline()
 	}
 	remaining := deadline - c.pool.loop.Now()
-	c.request.buffered = http1.AppendRequest(nil, req, c.endpoint.host, remaining)
+	c.setBuffered(http1.AppendRequest(nil, req, c.endpoint.host, remaining))
 	if c.request.body != nil { // the timeout of the attempt starts only when its body is complete
 		c.lastProgress = c.pool.loop.Now()
 		c.timer = c.pool.loop.After(stallTimeout, c.checkStall)
@@ -68,7 +70,7 @@
 		}
 		written += n
 	}
-	c.request.buffered = nil
+	c.setBuffered(nil)
 	if c.request.body != nil && c.request.body.Done() {
 		c.request.body = nil
 	}
@@ -86,6 +88,12 @@
 	}
 }
 
+// setBuffered replaces the bytes of the request that are buffered.
+func (c *conn) setBuffered(p []byte) {
+	c.pool.memory.Add(memory.Requests, cap(p)-c.request.size)
+	c.request.buffered, c.request.size = p, cap(p)
+}
+
 // waitUntilWritable waits until the upstream has read enough for more of the request to be sent, after n bytes were written.
 // Meanwhile no more of a streamed body is received from the client.
 func (c *conn) waitUntilWritable(n int) {
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -6,6 +6,7 @@
 	"salttrack/balance"
 	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
+	"salttrack/internal/memory"
 )
 
 // maxReadsPerTurn is the maximum number of reads from one connection in one turn of the loop, so that an upstream that
@@ -27,7 +28,10 @@
 // with brokenOutcome, whatever the incomplete response contains.
 func (c *conn) receive() {
 	for i := 0; i < maxReadsPerTurn && c.state == stateActive; i++ {
-		buffer := c.pool.budget.ReadBuffer(c.pool.readBuffer)
+		buffer := c.pool.readBuffer
+		if c.pool.memory.Full(memory.Bodies) {
+			buffer = buffer[:shortReadSize]
+		}
 		if c.stream != nil {
 			available := c.stream.Available()
 			if available == 0 { // the client reads more slowly than the upstream sends
