Long heads are rejected while there is no memory for them

Cause: a line is kept until it is complete, up to 16 KiB for each connection, and values as long stay with their request. Both were bounded for each connection and not together, and a head of a rejected request stayed until its connection was closed.

Change: while over three quarters of the account are in use, a line, path or value of more than 1 KiB is answered with 503 (nothing was forwarded), which is counted in client_memory_rejected. From an upstream, such a head is a malformed response.

Why it works: heads stop growing before the account is used up, whatever the number of connections; usual heads are shorter.

--- a/internal/downstream/dispatch.go
+++ b/internal/downstream/dispatch.go
@@ -129,6 +129,15 @@
 	c.rejectWith(http1.ResponseHead{Status: status, Close: true})
 }
 
+// rejectUndecoded rejects a request whose decoding has failed.
+func (c *conn) rejectUndecoded(err error) {
+	status := http1.StatusOf(err)
+	if status == http1.StatusServiceUnavailable {
+		c.server.counters.memoryRejected.Inc()
+	}
+	c.rejectAndClose(status)
+}
+
 func (c *conn) rejectWith(head http1.ResponseHead) {
 	c.server.counters.requestsMalformed.Inc()
 	c.stopReading()
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -166,7 +166,7 @@
 	}
 	n, err := r.decoder.Feed(p)
 	if err != nil {
-		c.rejectAndClose(http1.StatusOf(err))
+		c.rejectUndecoded(err)
 		return n, false
 	}
 	if at, ahead := r.unread.consume(n); ahead {
--- a/internal/http1/account_test.go
+++ b/internal/http1/account_test.go
@@ -58,3 +58,35 @@
 		}
 	}
 }
+
+// Guards against more memory than the limit: hundreds of clients send long lines or long values in their heads, which are rejected
+// while there is no memory for them. Short ones are kept.
+func TestLongHeadsAreRejectedWithoutMemory(t *testing.T) {
+	long := strings.Repeat("a", minRejectedHeadBytes)
+	for name, tt := range map[string]struct {
+		text     string
+		rejected bool
+	}{
+		"incomplete line":       {"GET /read/x HTTP/1.1\r\nA: " + long, true},
+		"path":                  {"GET /read/" + long + " HTTP/1.1\r\n", true},
+		"value":                 {"GET /read/x HTTP/1.1\r\nX-Labels: " + long + "a\r\n", true},
+		"unused value":          {"GET /read/x HTTP/1.1\r\nA: " + long + "a\r\n", false},
+		"many short fields":     {"GET /read/x HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", 1000), false},
+		"short incomplete line": {"GET /read/x HTTP/1.1\r\nX-Labels: " + long[:900], false},
+	} {
+		for _, limit := range []int{0, 1 << 20} {
+			d := NewRequestDecoder()
+			account := memory.NewAccount(limit)
+			account.Add(memory.Connections, 1)
+			d.CountMemory(account)
+			_, err := d.Feed([]byte(tt.text))
+			if rejected := err == errNoMemoryForHead; rejected != (tt.rejected && limit == 0) || err != nil && !rejected {
+				t.Errorf("%s with a limit of %d bytes: %v", name, limit, err)
+			}
+			d.Release()
+			if account.Total() != 1 {
+				t.Errorf("%s: %d bytes are not returned", name, account.Total()-1)
+			}
+		}
+	}
+}
--- a/internal/http1/decoder.go
+++ b/internal/http1/decoder.go
@@ -116,6 +116,11 @@
 	d.partialLine = nil
 }
 
+// lacksHeadMemory reports whether there is no memory to keep a part of the head of the given length in bytes.
+func (d *decoder) lacksHeadMemory(length int) bool {
+	return length > minRejectedHeadBytes && d.account.Full(memory.Heads)
+}
+
 // countHead records that the memory of the head has grown by a number of bytes, which may be negative.
 func (d *decoder) countHead(bytes int) {
 	d.headBytes += bytes
@@ -208,6 +213,9 @@
 	}
 	line := p[:n]
 	if end < 0 || len(d.partialLine) > 0 {
+		if d.lacksHeadMemory(len(d.partialLine) + n) {
+			return 0, errNoMemoryForHead
+		}
 		d.appendLine(line)
 		line = d.partialLine
 	}
--- a/internal/http1/error.go
+++ b/internal/http1/error.go
@@ -26,6 +26,7 @@
 // Errors that the decoders return.
 var (
 	errHeadTooLarge         = &Error{StatusHeaderFieldsTooLarge, "head too large"}
+	errNoMemoryForHead      = &Error{StatusServiceUnavailable, "no memory for a long head"}
 	errBodyTooLarge         = &Error{StatusContentTooLarge, "body too large"}
 	errUnknownCoding        = &Error{StatusNotImplemented, "transfer coding not known"}
 	errUnknownExpectation   = &Error{StatusExpectationFailed, "expectation not known"}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -10,6 +10,7 @@
 	MaxHeadBytes         = 16 << 10 // size of a head; also of the lines that frame one chunk, and of the trailer section
 	MaxBufferedBodyBytes = 64 << 10 // size of a buffered body; longer bodies are streamed
 	minStreamedBodyBytes = 4 << 10  // length up to which an incomplete body is buffered although there is no memory to buffer longer ones
+	minRejectedHeadBytes = 1 << 10  // length up to which a line or a value of a head is kept although there is no memory to keep longer ones
 	MaxBodyBytes         = 33 << 20 // size of any body, except one that is passed to a sink
 )
 
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -101,6 +101,9 @@
 		return errVersionNotSupported
 	}
 	d.persistence.minorVersion = minor
+	if d.lacksHeadMemory(len(target)) {
+		return errNoMemoryForHead
+	}
 	d.request.Method = string(method)
 	d.request.Target = string(target)
 	d.countHead(len(method) + len(target))
@@ -147,6 +150,9 @@
 	if !isPrintable(value, lowest) {
 		return malformed(name)
 	}
+	if d.lacksHeadMemory(len(value)) {
+		return errNoMemoryForHead
+	}
 	*text = string(value)
 	d.countHead(len(value))
 	return nil
