Requests are rejected while there is no memory for them, low weights first

Change: a request is admitted while the account is not used up, those of the lowest priority weight up to seven eighths of it; one with a streamed body, which needs a buffer, up to three quarters. The others get 503, counted in client_memory_rejected; nothing was forwarded. Connections get at most half of the account, and new ones are accepted on reserved descriptors while it is used up.

Why it works: what a request costs is counted before it is accepted, so the account is passed by one request at most.

TestRequestsAreRejectedWithoutMemory and TestLowWeightsAreRejectedFirst need the new code.

--- a/cmd/salttrack/memory_limits_test.go
+++ b/cmd/salttrack/memory_limits_test.go
@@ -240,7 +240,7 @@
 	report := usual.finish()
 	used := p.usage()
 	_, anonymous, files, shared := residentMB(t, p.cmd.Process.Pid)
-	t.Logf("peak %.1f MB; now anonymous %.1f, files %.1f, shared %.1f; CPU %.1f s; %s", used.peakMB, anonymous, files, shared, used.cpuSeconds, report)
+	t.Logf("%s: peak %.1f MB; now anonymous %.1f, files %.1f, shared %.1f; CPU %.1f s; %s", t.Name(), used.peakMB, anonymous, files, shared, used.cpuSeconds, report)
 	if used.peakMB > float64(c.limitMB) {
 		t.Errorf("peak memory %.1f MB, the limit is %d MB", used.peakMB, c.limitMB)
 	}
--- a/internal/downstream/accept.go
+++ b/internal/downstream/accept.go
@@ -4,6 +4,7 @@
 	"golang.org/x/sys/unix"
 
 	"salttrack/internal/loop"
+	"salttrack/internal/memory"
 	"salttrack/internal/trace"
 )
 
@@ -42,7 +43,7 @@
 	if s.Trace.Enabled() {
 		s.Trace.Write(trace.ConnectionAccepted, trace.Event{Connection: fd})
 	}
-	withinQuota := s.quota.Acquire()
+	withinQuota := !s.Memory.Full(memory.Connections) && s.quota.Acquire()
 	c := newConn(s, fd)
 	if !withinQuota {
 		c.overflow = true
@@ -77,7 +78,7 @@
 // promoteFromOverflow turns an overflow connection into a regular one if the descriptor quota allows it.
 // It reports whether it has done so.
 func (c *conn) promoteFromOverflow() bool {
-	if !c.server.quota.Acquire() {
+	if c.server.Memory.Full(memory.Connections) || !c.server.quota.Acquire() {
 		return false
 	}
 	c.overflow = false
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -55,7 +55,7 @@
 	c.reader.unread.conn = c
 	c.reader.decoder = http1.NewRequestDecoder()
 	c.reader.decoder.CountMemory(s.Memory)
-	s.Memory.Add(memory.Connections, connectionBytes)
+	s.Memory.Add(memory.Connections, ConnectionBytes)
 	c.requestStream.conn = c
 	c.pending.conn = c
 	c.writer.conn = c
@@ -163,7 +163,7 @@
 func (c *conn) unregister() {
 	c.stopReading()
 	delete(c.server.conns, c)
-	c.server.Memory.Add(memory.Connections, -connectionBytes)
+	c.server.Memory.Add(memory.Connections, -ConnectionBytes)
 	c.reader.release()
 	c.writer.setUnsent(nil)
 	if c.overflow {
--- a/internal/downstream/dispatch.go
+++ b/internal/downstream/dispatch.go
@@ -6,6 +6,7 @@
 	"salttrack/balance"
 	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
+	"salttrack/internal/memory"
 	"salttrack/internal/trace"
 )
 
@@ -40,6 +41,10 @@
 		s.counters.shutdownRejected.Inc()
 		c.traceRejected(&r, http1.StatusServiceUnavailable, reasonShutdownTooLate)
 		c.writer.respond(http1.ResponseHead{Status: http1.StatusServiceUnavailable}, nil)
+	case !s.admitsRequest(&r, class):
+		s.counters.memoryRejected.Inc()
+		c.traceRejected(&r, http1.StatusServiceUnavailable, reasonNoMemory)
+		c.writer.respond(http1.ResponseHead{Status: http1.StatusServiceUnavailable}, nil)
 	case !s.rememberID(r.ID, class): // the class may not run twice
 		c.traceRejected(&r, http1.StatusConflict, reasonRepeatedID)
 		c.reject(http1.StatusConflict)
@@ -48,6 +53,14 @@
 	}
 }
 
+// admitsRequest reports whether there is memory for a request.
+func (s *Server) admitsRequest(r *http1.Request, class uint8) bool {
+	if r.Stream != nil && s.Memory.Full(memory.Streams) {
+		return false
+	}
+	return s.Memory.AdmitsRequest(s.settings.Weights[class])
+}
+
 // rememberID adds the id of a request that must not run twice to the ids that may have run. It returns false if it was there.
 func (s *Server) rememberID(id string, class uint8) bool {
 	return s.ExecutedIDs == nil || s.settings.Idempotency[class] == balance.Idempotent || s.ExecutedIDs.Add(id)
--- a/internal/downstream/helpers_test.go
+++ b/internal/downstream/helpers_test.go
@@ -71,6 +71,7 @@
 	})
 	s.server.ApplySettings(&Settings{
 		Classes: map[string]uint8{"read": classRead, "pay": classPay, "keep": classKeep},
+		Weights: []float64{1, 1, 1, 1, 1, 1, 1, 1},
 		Idempotency: []balance.Idempotency{
 			classRead: balance.Idempotent,
 			classPay:  balance.NonIdempotent,
--- a/internal/downstream/limits.go
+++ b/internal/downstream/limits.go
@@ -54,8 +54,8 @@
 	minBodyBytesPerInterval = 16 << 10 // bytes of a body that a client has to send in each bodyProgressInterval
 )
 
-// connectionBytes is about the memory of a connection without a request, in bytes: its state, its decoder, its timer and its watch.
-const connectionBytes = 1 << 10
+// ConnectionBytes is about the memory of a connection without a request, in bytes: its state, its decoder, its timer and its watch.
+const ConnectionBytes = 1 << 10
 
 // Limits on accepting connections.
 const (
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -58,6 +58,7 @@
 type Settings struct {
 	Classes         map[string]uint8      // class numbers by the class names that are valid in requests
 	Idempotency     []balance.Idempotency // indexed by class number
+	Weights         []float64             // priority weights by class number, from 0 to 1 for the highest
 	LongestDeadline balance.Millis        // longest deadline of all classes in Classes
 	ResponseMargin  balance.Millis        // time from RespondBy to ClientDeadline of an exchange; less for a short remaining time
 }
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -26,7 +26,7 @@
 	Streams:     0.75, // above it, requests with a long body are rejected
 	Heads:       0.75, // above it, long heads are rejected
 	Responses:   1,    // never refused: the request may have run
-	Requests:    1,    // above it, requests are rejected
+	Requests:    1,    // above it, all requests are rejected; see AdmitsRequest
 	Connections: 1,    // above it, connections are accepted only to reject their requests
 }
 
@@ -88,6 +88,19 @@
 	return a != nil && float64(a.total) > shares[kind]*float64(a.limit)
 }
 
+// lowestWeightShare is the share of the limit above which requests with the lowest priority weight are rejected.
+const lowestWeightShare = 0.875
+
+// AdmitsRequest reports whether there is memory for another request. The weight is its priority weight, from 0 to 1 for the
+// highest weight of all classes. As memory runs out, requests with a lower weight are rejected first.
+func (a *Account) AdmitsRequest(weight float64) bool {
+	if a == nil {
+		return true
+	}
+	share := lowestWeightShare + (shares[Requests]-lowestWeightShare)*weight
+	return float64(a.total) <= share*float64(a.limit)
+}
+
 // Kinds returns all kinds.
 func Kinds() []Kind {
 	all := make([]Kind, kinds)
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -46,3 +46,17 @@
 		t.Error("an absent account is full")
 	}
 }
+
+// As memory runs out, requests of the lowest weight are rejected first.
+func TestLowWeightsAreRejectedFirst(t *testing.T) {
+	a := NewAccount(1000)
+	for _, step := range []struct {
+		total         int
+		lowest, other bool
+	}{{874, true, true}, {877, false, true}, {1000, false, true}, {1001, false, false}} {
+		a.Add(Bodies, step.total-a.Total())
+		if lowest, other := a.AdmitsRequest(0), a.AdmitsRequest(1); lowest != step.lowest || other != step.other {
+			t.Errorf("%d of 1000 bytes: lowest weight admitted %v, highest %v", step.total, lowest, other)
+		}
+	}
+}
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"salttrack/balance"
 	"salttrack/internal/downstream"
 	"salttrack/internal/settings"
 )
@@ -53,6 +54,7 @@
 	d := &downstream.Settings{
 		Classes:        map[string]uint8{},
 		ResponseMargin: 2 * s.Granularity,
+		Weights:        relativeWeights(s.Classes),
 	}
 	for i, name := range s.ClassNames {
 		class := s.Classes[i]
@@ -65,3 +67,19 @@
 	}
 	return d
 }
+
+// relativeWeights returns the priority weights of classes, divided by the highest.
+func relativeWeights(classes []balance.Class) []float64 {
+	highest := 0.0
+	for i := range classes {
+		highest = max(highest, classes[i].PriorityWeight)
+	}
+	weights := make([]float64, len(classes))
+	for i := range classes {
+		weights[i] = 1
+		if highest > 0 {
+			weights[i] = classes[i].PriorityWeight / highest
+		}
+	}
+	return weights
+}
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -1,6 +1,9 @@
 package node
 
-import "salttrack/internal/bodystream"
+import (
+	"salttrack/internal/bodystream"
+	"salttrack/internal/downstream"
+)
 
 // Division of the configured descriptors and memory between the components.
 const (
@@ -8,6 +11,7 @@
 	maxOverflowConnections = 32    // client connections that are accepted when all other descriptors are in use
 	maxAdminDescriptors    = 64    // descriptors of the admin server, for its listening socket and its connections
 	minConnections         = 8     // connections to clients and upstreams that are allowed under any limit
+	connectionShare        = 0.5   // share of the account that connections without requests may use
 	bodyBufferShare        = 0.125 // share of the memory that is used for buffers of streamed bodies
 	accountShare           = 0.5   // share of the memory that peers can make the process hold
 )
@@ -49,7 +53,9 @@
 	if c.Admin.IsValid() {
 		r.adminDescriptors = min(maxAdminDescriptors, descriptors/adminDivisor)
 	}
-	r.connections = max(minConnections, descriptors-internalDescriptors-r.overflowConnections-r.adminDescriptors)
+	r.connections = descriptors - internalDescriptors - r.overflowConnections - r.adminDescriptors
+	r.connections = min(r.connections, int(connectionShare*float64(r.accountBytes))/downstream.ConnectionBytes)
+	r.connections = max(minConnections, r.connections)
 	return r
 }
 
