What a request will use is counted before the next one is admitted

Cause: the copy of a request for its upstream was counted when its connection was up, after further requests had been admitted. The values of a head were no longer counted when the response started, though the exchange keeps them until it ends. A body of up to 4 KiB was buffered whatever memory was left.

Change: an attempt counts its copy from its start, and allocates it in one piece. Heads stay counted until the response has been sent, unless the request has no exchange. Over three quarters of the account, an incomplete body of over 1 KiB is treated like a long one, so its request gets 503.

Test: TestShortBodiesAreBufferedWithoutMemory has the body of 4 KiB beside an account that is two thirds full, as at the limit it may not be buffered any more, and the body of 1 KiB at the limit.

--- a/internal/downstream/dispatch.go
+++ b/internal/downstream/dispatch.go
@@ -36,15 +36,15 @@
 	case c.overflow && !c.promoteFromOverflow():
 		s.counters.overflowRejected.Inc()
 		c.traceRejected(&r, http1.StatusServiceUnavailable, reasonNoDescriptor)
-		c.writer.respond(http1.ResponseHead{Status: http1.StatusServiceUnavailable}, nil)
+		c.respondDirectly(http1.ResponseHead{Status: http1.StatusServiceUnavailable})
 	case s.rejectsNewRequests():
 		s.counters.shutdownRejected.Inc()
 		c.traceRejected(&r, http1.StatusServiceUnavailable, reasonShutdownTooLate)
-		c.writer.respond(http1.ResponseHead{Status: http1.StatusServiceUnavailable}, nil)
+		c.respondDirectly(http1.ResponseHead{Status: http1.StatusServiceUnavailable})
 	case !s.admitsRequest(&r, class):
 		s.counters.memoryRejected.Inc()
 		c.traceRejected(&r, http1.StatusServiceUnavailable, reasonNoMemory)
-		c.writer.respond(http1.ResponseHead{Status: http1.StatusServiceUnavailable}, nil)
+		c.respondDirectly(http1.ResponseHead{Status: http1.StatusServiceUnavailable})
 	case !s.rememberID(r.ID, class): // the class may not run twice
 		c.traceRejected(&r, http1.StatusConflict, reasonRepeatedID)
 		c.reject(http1.StatusConflict)
@@ -125,10 +125,10 @@
 		c.reject(http1.StatusMethodNotAllowed)
 	case c.server.shuttingDown() || !c.server.Options.Synced():
 		c.server.counters.readinessChecks.Inc()
-		c.writer.respond(http1.ResponseHead{Status: http1.StatusServiceUnavailable}, nil)
+		c.respondDirectly(http1.ResponseHead{Status: http1.StatusServiceUnavailable})
 	default:
 		c.server.counters.readinessChecks.Inc()
-		c.writer.respond(http1.ResponseHead{Status: http1.StatusOK}, nil)
+		c.respondDirectly(http1.ResponseHead{Status: http1.StatusOK})
 	}
 }
 
@@ -154,5 +154,11 @@
 func (c *conn) rejectWith(head http1.ResponseHead) {
 	c.server.counters.requestsMalformed.Inc()
 	c.stopReading()
+	c.respondDirectly(head)
+}
+
+// respondDirectly sends a response without a body to a request that has no exchange.
+func (c *conn) respondDirectly(head http1.ResponseHead) {
+	c.reader.decoder.Release()
 	c.writer.respond(head, nil)
 }
--- a/internal/downstream/response.go
+++ b/internal/downstream/response.go
@@ -30,7 +30,7 @@
 		head.Close = true
 		c.linger.timeout = incompleteRequestLinger
 	}
-	c.reader.decoder.Release()
+	c.reader.decoder.ReleaseBody() // the exchange keeps the values of the head
 	w.closeAfter = w.closeAfter || head.Close || c.shouldClose()
 	head.Close = w.closeAfter
 	c.server.counters.responses[head.Status].Inc()
--- a/internal/downstream/response_stream.go
+++ b/internal/downstream/response_stream.go
@@ -31,7 +31,7 @@
 		return
 	}
 	invariant.Check(!c.requestStream.active(), "a streamed response starts after the request is complete")
-	c.reader.decoder.Release()
+	c.reader.decoder.ReleaseBody() // the exchange keeps the values of the head
 	unknownLength := stream.Length < 0
 	chunked := unknownLength && !r.HTTP10
 	c.writer.closeAfter = c.writer.closeAfter || c.shouldClose() || unknownLength && r.HTTP10
--- a/internal/http1/account_test.go
+++ b/internal/http1/account_test.go
@@ -45,15 +45,17 @@
 	}
 }
 
-// While the account is full, a body that is complete or short is buffered nevertheless: streaming it would save no memory.
+// While there is no memory for bodies, one that is complete or short is buffered nevertheless: streaming it would save no memory.
 func TestShortBodiesAreBufferedWithoutMemory(t *testing.T) {
-	for _, request := range []string{
-		"POST /pay/x HTTP/1.1\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("a", 20000),
-		"POST /pay/x HTTP/1.1\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("a", minStreamedBodyBytes),
+	for _, tt := range []struct{ limit, length int }{
+		{0, 20000},
+		{0, minRejectedBytes},
+		{minStreamedBodyBytes * 3 / 2, minStreamedBodyBytes}, // over half of the account, under three quarters
 	} {
 		d := NewRequestDecoder()
-		d.CountMemory(memory.NewAccount(0))
-		if _, err := d.Feed([]byte(request)); err != nil || d.NeedsStreaming() {
+		d.CountMemory(memory.NewAccount(tt.limit))
+		_, err := d.Feed([]byte("POST /pay/x HTTP/1.1\r\nContent-Length: 20000\r\n\r\n" + strings.Repeat("a", tt.length)))
+		if err != nil || d.NeedsStreaming() {
 			t.Errorf("a body of which %d bytes are received is streamed, or %v", d.bodyBytes, err)
 		}
 	}
@@ -62,7 +64,7 @@
 // Guards against more memory than the limit: hundreds of clients send long lines or long values in their heads, which are rejected
 // while there is no memory for them. Short ones are kept.
 func TestLongHeadsAreRejectedWithoutMemory(t *testing.T) {
-	long := strings.Repeat("a", minRejectedHeadBytes)
+	long := strings.Repeat("a", minRejectedBytes)
 	for name, tt := range map[string]struct {
 		text     string
 		rejected bool
--- a/internal/http1/decoder.go
+++ b/internal/http1/decoder.go
@@ -118,7 +118,7 @@
 
 // lacksHeadMemory reports whether there is no memory to keep a part of the head of the given length in bytes.
 func (d *decoder) lacksHeadMemory(length int) bool {
-	return length > minRejectedHeadBytes && d.account.Full(memory.Heads)
+	return length > minRejectedBytes && d.account.Full(memory.Heads)
 }
 
 // countHead records that the memory of the head has grown by a number of bytes, which may be negative.
@@ -183,6 +183,12 @@
 	return nil
 }
 
+// lacksBodyMemory reports whether there is no memory to wait for the rest of a body whose first bytes are buffered.
+func (d *decoder) lacksBodyMemory(length int) bool {
+	return length > minStreamedBodyBytes && d.account.Full(memory.Bodies) ||
+		length > minRejectedBytes && d.account.Full(memory.Streams)
+}
+
 // bufferBody appends bytes to the buffered body. The buffer grows with the received bytes and not with the announced ones.
 func (d *decoder) bufferBody(p []byte) {
 	length := len(d.body) + len(p)
@@ -197,7 +203,7 @@
 		d.body = grown
 	}
 	d.body = append(d.body, p...)
-	d.lacksMemory = d.lacksMemory || length > minStreamedBodyBytes && d.account.Full(memory.Bodies)
+	d.lacksMemory = d.lacksMemory || d.lacksBodyMemory(length)
 }
 
 // feedLine decodes bytes of one line and parses the line when it is complete.
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -9,8 +9,8 @@
 const (
 	MaxHeadBytes         = 16 << 10 // size of a head; also of the lines that frame one chunk, and of the trailer section
 	MaxBufferedBodyBytes = 64 << 10 // size of a buffered body; longer bodies are streamed
-	minStreamedBodyBytes = 4 << 10  // length up to which an incomplete body is buffered although there is no memory to buffer longer ones
-	minRejectedHeadBytes = 1 << 10  // length up to which a line or a value of a head is kept although there is no memory to keep longer ones
+	minStreamedBodyBytes = 4 << 10  // length up to which an incomplete body is buffered while bodies have used up their memory
+	minRejectedBytes     = 1 << 10  // length up to which a part of a head or body is kept while there is memory for requests only
 	MaxBodyBytes         = 33 << 20 // size of any body, except one that is passed to a sink
 )
 
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -188,6 +188,15 @@
 	return r.RemainingSeconds * millisPerSecond
 }
 
+// maxRequestFraming is an upper bound of what AppendRequest adds to the values of a request and to its host, in bytes.
+const maxRequestFraming = 256
+
+// RequestBytes returns an upper bound of the bytes that AppendRequest appends for a request.
+func RequestBytes(r *Request, host string) int {
+	values := len(r.Method) + len(r.Target) + len(r.ID) + len(r.Class) + len(r.IdempotencyKey) + len(r.Labels)
+	return maxRequestFraming + values + len(host) + len(r.Body)
+}
+
 // AppendRequest appends the request that is sent to an upstream: the head, and the body unless it is streamed.
 // The field Host has the value host. The field X-Remaining says how long the caller waits for the response:
 // remainingMS is this time in milliseconds, and it is written in seconds.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -54,7 +54,9 @@
 	c.attempt = a
 	c.reusable = false
 	c.pool.active[a] = c
-	if req := requestOf(a); req.Stream != nil {
+	req := requestOf(a)
+	c.reserveBuffer(req)
+	if req.Stream != nil {
 		c.request.body = http1.NewBodyEncoder(req.Stream, req.Stream.Length < 0)
 		c.request.stream = req.Stream
 		req.Stream.OnReadable(c.send)
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -10,7 +10,7 @@
 // requestWriter holds the part of a request that is still to be sent.
 type requestWriter struct {
 	buffered []byte             // the header, and the body if it is not streamed
-	size     int                // bytes of memory that they keep in use, counted in the account
+	size     int                // bytes of memory that they use, or will use once the connection is established, counted in the account
 	body     *http1.BodyEncoder // a streamed body; nil if there is none or all of it is sent
 	stream   *bodystream.Stream // the stream that body encodes
 }
@@ -36,7 +36,7 @@
 		deadline = c.attempt.Exchange.Deadline()
 	}
 	remaining := deadline - c.pool.loop.Now()
-	c.setBuffered(http1.AppendRequest(nil, req, c.endpoint.host, remaining))
+	c.setBuffered(http1.AppendRequest(make([]byte, 0, c.request.size), req, c.endpoint.host, remaining))
 	if c.request.body != nil { // the timeout of the attempt starts only when its body is complete
 		c.lastProgress = c.pool.loop.Now()
 		c.timer = c.pool.loop.After(stallTimeout, c.checkStall)
@@ -88,6 +88,13 @@
 	}
 }
 
+// reserveBuffer counts the memory that the buffered part of the request will use. More requests must not be admitted while the
+// connection is being established.
+func (c *conn) reserveBuffer(r *http1.Request) {
+	c.request.size = http1.RequestBytes(r, c.endpoint.host)
+	c.pool.memory.Add(memory.Requests, c.request.size)
+}
+
 // setBuffered replaces the bytes of the request that are buffered.
 func (c *conn) setBuffered(p []byte) {
 	c.pool.memory.Add(memory.Requests, cap(p)-c.request.size)
