The memory limit is divided after what the process needs by itself is measured

The parts of the limit were fixed shares of all of it: half for the account, an eighth for buffers, 0.7 for the Go runtime, while the process alone takes 5.7 MB, 4.3 of them pages of files.

Change: when the endpoint list is known, the balancer measures the resident memory without garbage, and divides the room that is left. The Go runtime's soft limit counts mapped memory that is not resident, so it is set relative to what is mapped at that time.

Why it works: resident memory is the measured base plus the growth of the runtime, which collects garbage more often before it has used the room, and can do so as the account bounds what is in use to about half of it.

The shares are 0.75 and 0.4 here.

--- a/cmd/salttrack/limits.go
+++ b/cmd/salttrack/limits.go
@@ -1,31 +1,59 @@
 package main
 
 import (
+	"os"
 	"runtime"
 	"runtime/debug"
+	"strconv"
+	"strings"
 
 	"golang.org/x/sys/unix"
 
 	"salttrack/internal/node"
 )
 
-// runtimeMemoryShare is the share of the memory limit that is set as the soft limit of the Go runtime.
-// The rest is for memory that the runtime does not count.
-const runtimeMemoryShare = 0.7
-
 // applyLimits limits the Go runtime to the configured cores and memory.
 // It lowers the configured number of descriptors to the limit of the kernel.
 func applyLimits(c *node.Config) {
 	runtime.GOMAXPROCS(max(1, int(c.Limits.Cores)))
-	limitMemory(c.Limits.MemoryMB)
 	var descriptors unix.Rlimit
 	if unix.Getrlimit(unix.RLIMIT_NOFILE, &descriptors) == nil {
 		c.Limits.LimitDescriptors(descriptors.Cur)
 	}
 }
 
-// limitMemory sets the soft memory limit of the Go runtime by a memory limit in MB.
-// As the memory in use approaches the soft limit, the runtime collects garbage more often.
-func limitMemory(limitMB float64) {
-	debug.SetMemoryLimit(int64(limitMB * runtimeMemoryShare * (1 << 20)))
+// processMemory implements node.ProcessMemory.
+type processMemory struct {
+	mapped int // bytes that counted for the soft limit of the Go runtime at the last call of Resident
+}
+
+// Resident returns the resident memory of the process in bytes, without garbage.
+func (m *processMemory) Resident() int {
+	debug.FreeOSMemory()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	m.mapped = int(stats.Sys - stats.HeapReleased)
+	return residentBytes()
+}
+
+// LimitGrowth sets the soft memory limit of the Go runtime, which collects garbage more often as its memory approaches the limit. Much
+// of what counts for the limit is mapped and not resident, so the limit is relative to the last call of Resident.
+func (m *processMemory) LimitGrowth(bytes int) { debug.SetMemoryLimit(int64(m.mapped + bytes)) }
+
+// residentBytes returns the resident memory of the process, in bytes: its anonymous memory, the pages of its files and shared
+// memory. It returns 0 if the kernel does not tell.
+func residentBytes() int {
+	text, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text)) // the second is the number of resident pages
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, err := strconv.Atoi(fields[1])
+	if err != nil {
+		return 0
+	}
+	return pages * os.Getpagesize()
 }
--- a/cmd/salttrack/main.go
+++ b/cmd/salttrack/main.go
@@ -73,6 +73,7 @@
 	l := loop.New(kernel)
 	entry := log.WithField("name", c.Name)
 	b := node.New(c, l, entry)
+	b.LimitProcessMemory(&processMemory{})
 	enableHotRestart(b, c, entry)
 	b.Trace.SetEnabled(os.Getenv(traceVariable) == "on")
 	handleSignals(b, l, entry)
@@ -110,7 +111,7 @@
 		log.WithError(err).Warn("hot restart disabled")
 		return
 	}
-	b.EnableHotRestart(store, func(share float64) { limitMemory(share * c.Limits.MemoryMB) })
+	b.EnableHotRestart(store)
 	memory, err := store.SharedMemory(executedIDs, replay.Size)
 	if err != nil {
 		log.WithError(err).Warn("ids of requests are not shared with other processes")
--- a/cmd/salttrack/slow_peers_test.go
+++ b/cmd/salttrack/slow_peers_test.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	slowPeerBuffers = 64      // buffers of streamed bodies: an eighth of 16 MB, in buffers of 32 KiB
+	slowPeersMemory = 16      // memory limit in MB; an eighth of it at most is for buffers of streamed bodies, which are 64 of 32 KiB
 	slowPeers       = 100     // peers that read nothing, more than there are buffers
 	longBodyBytes   = 4 << 20 // more than the kernel's buffers hold
 	maxHold         = 2 * time.Second
@@ -30,11 +30,11 @@
 	}
 }
 
-// startWithFewBuffers starts a program that has slowPeerBuffers buffers of streamed bodies.
+// startWithFewBuffers starts a program that has fewer buffers of streamed bodies than slowPeers.
 func startWithFewBuffers(t *testing.T) *program {
 	e := newEnvironment(t, serveLong)
 	return start(t, e.config(func(config map[string]any) {
-		config["limits"] = map[string]any{"cores": 1.0, "memory_mb": slowPeerBuffers * 8 / 32, "sockets": 1024}
+		config["limits"] = map[string]any{"cores": 1.0, "memory_mb": slowPeersMemory, "sockets": 1024}
 	}))
 }
 
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -8,6 +8,30 @@
 // memoryLogInterval is the shortest time between two log lines about the memory, in ms.
 const memoryLogInterval balance.Millis = 1000
 
+// ProcessMemory measures and limits the memory of the process.
+type ProcessMemory interface {
+	// Resident returns the resident memory in bytes, 0 if it is not known.
+	Resident() int
+	// LimitGrowth limits the memory by which the process may grow after the last call of Resident, in bytes. It is a soft limit.
+	LimitGrowth(bytes int)
+}
+
+// LimitProcessMemory makes the balancer limit the memory of its process. It has to be called before Start.
+func (n *Node) LimitProcessMemory(m ProcessMemory) {
+	n.processMemory = m
+	n.measureBaseMemory()
+}
+
+// measureBaseMemory divides the memory that the process does not need before it serves clients. It is called again when the endpoint
+// list is known.
+func (n *Node) measureBaseMemory() {
+	if n.processMemory == nil {
+		return
+	}
+	n.baseMemory = n.processMemory.Resident()
+	n.applyResources()
+}
+
 // registerMemoryGauges adds the gauges of the memory account.
 func (n *Node) registerMemoryGauges() {
 	n.Counters.Gauge("buffered_bytes", func() uint64 {
--- a/internal/node/overrides_test.go
+++ b/internal/node/overrides_test.go
@@ -61,7 +61,7 @@
 	t.Helper()
 	r := newBalancer(t, endpoint("127.0.0.1:1", "in_service"))
 	r.Do(func() {
-		r.node.EnableHotRestart(store, func(float64) {})
+		r.node.EnableHotRestart(store)
 		r.start()
 	})
 	watch, _ := r.acceptWatch()
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -18,10 +18,9 @@
 // It publishes the record of this process and applies the records of the peers.
 // It owns the worker, which calls the store on another goroutine than that of the event loop.
 type peerSync struct {
-	node           *Node
-	worker         *hotrestart.Worker
-	setMemoryShare func(share float64) // sets the memory limit of the process as a share of the configured limit
-	nextPoll       *timer.Timer
+	node     *Node
+	worker   *hotrestart.Worker
+	nextPoll *timer.Timer
 
 	reading bool                    // whether a read of the peers' records is in progress
 	synced  bool                    // whether the peers' records have been read at least once
@@ -37,14 +36,12 @@
 
 // EnableHotRestart lets processes of the same balancer replace each other.
 // They exchange records through a store, which the balancer owns from then on. EnableHotRestart has to be called before Start.
-// The balancer calls setMemoryShare whenever the share of the configured memory limit that this process may use changes.
-func (n *Node) EnableHotRestart(store hotrestart.Store, setMemoryShare func(share float64)) {
+func (n *Node) EnableHotRestart(store hotrestart.Store) {
 	n.peers = &peerSync{
-		node:           n,
-		worker:         hotrestart.NewWorker(store, n.loop.Post),
-		setMemoryShare: setMemoryShare,
-		record:         hotrestart.Record{Overrides: map[string]hotrestart.Override{}},
-		unpublished:    true,
+		node:        n,
+		worker:      hotrestart.NewWorker(store, n.loop.Post),
+		record:      hotrestart.Record{Overrides: map[string]hotrestart.Override{}},
+		unpublished: true,
 	}
 }
 
@@ -116,8 +113,10 @@
 	if split {
 		share = peerShare
 	}
-	p.node.applyShare(share)
-	p.setMemoryShare(share)
+	n := p.node
+	n.share = share
+	n.log.WithField("share", share).Info("share of descriptors and memory changed")
+	n.applyResources()
 }
 
 // publish stores the oldest pending override. If there is none, it stores the record if that has changed.
--- a/internal/node/readiness.go
+++ b/internal/node/readiness.go
@@ -66,6 +66,7 @@
 // onListening records that the balancer listens for clients.
 func (n *Node) onListening() {
 	n.listening = true
+	n.measureBaseMemory()
 	n.log.WithFields(logrus.Fields{
 		"listen": n.config.Listen,
 		"tier":   n.config.Settings.Tier,
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -7,13 +7,21 @@
 
 // Division of the configured descriptors and memory between the components.
 const (
-	internalDescriptors    = 20    // descriptors of the loop, listening sockets, discovery, standard streams and Go runtime
-	maxOverflowConnections = 32    // client connections that are accepted when all other descriptors are in use
-	maxAdminDescriptors    = 64    // descriptors of the admin server, for its listening socket and its connections
-	minConnections         = 8     // connections to clients and upstreams that are allowed under any limit
-	connectionShare        = 0.5   // share of the account that connections without requests may use
-	bodyBufferShare        = 0.125 // share of the memory that is used for buffers of streamed bodies
-	accountShare           = 0.5   // share of the memory that peers can make the process hold
+	internalDescriptors    = 20  // descriptors of the loop, listening sockets, discovery, standard streams and Go runtime
+	maxOverflowConnections = 32  // client connections that are accepted when all other descriptors are in use
+	maxAdminDescriptors    = 64  // descriptors of the admin server, for its listening socket and its connections
+	minConnections         = 8   // connections to clients and upstreams that are allowed under any limit
+	connectionShare        = 0.5 // share of the account that connections without requests may use
+)
+
+// Division of the memory limit. What the process needs before it serves is subtracted first. The rest is the room of the Go heap, in
+// which garbage stays for a while, and of what is used beside it.
+const (
+	runtimeShare  = 0.75      // share of the room by which the memory of the Go runtime may grow
+	accountShare  = 0.4       // share of the room that peers can make the process hold; the heap may be twice as large
+	minMemoryRoom = 512 << 10 // bytes; without any, nothing could be served
+	bufferShare   = 0.25      // share of the account that buffers of streamed bodies may use
+	bytesPerMB    = 1 << 20
 )
 
 // Divisors of the configured number of descriptors.
@@ -36,19 +44,23 @@
 	adminDescriptors    int // descriptors of the admin server, 0 if there is none
 	bodyBuffers         int // buffers of streamed bodies
 	accountBytes        int // memory that peers can make the process hold
+	runtimeGrowth       int // bytes by which the memory of the Go runtime may grow after the start
 }
 
 // maxAdminConnections returns the maximum number of connections of the admin server. One descriptor is for its listening socket.
 func (r resources) maxAdminConnections() int { return r.adminDescriptors - 1 }
 
-// splitResources divides a share of the configured limits between the components.
-func (c *Config) splitResources(share float64) resources {
+// splitResources divides a share of the configured limits between the components. Of the memory, the process needs a number of bytes
+// before it serves.
+func (c *Config) splitResources(share float64, baseMemory int) resources {
 	descriptors := int(share * float64(c.Limits.Sockets))
-	memory := share * c.Limits.MemoryMB * (1 << 20)
+	room := max(minMemoryRoom, share*c.Limits.MemoryMB*bytesPerMB-float64(baseMemory))
+	account := accountShare * room
 	r := resources{
 		overflowConnections: min(maxOverflowConnections, descriptors/overflowDivisor),
-		bodyBuffers:         int(memory * bodyBufferShare / bodystream.BufferSize),
-		accountBytes:        int(memory * accountShare),
+		bodyBuffers:         int(bufferShare * account / bodystream.BufferSize),
+		accountBytes:        int(account),
+		runtimeGrowth:       int(runtimeShare * room),
 	}
 	if c.Admin.IsValid() {
 		r.adminDescriptors = min(maxAdminDescriptors, descriptors/adminDivisor)
@@ -59,10 +71,9 @@
 	return r
 }
 
-// applyShare limits the components of the balancer to a share of the configured limits.
-func (n *Node) applyShare(share float64) {
-	n.log.WithField("share", share).Info("share of descriptors and memory changed")
-	r := n.config.splitResources(share)
+// applyResources limits the components of the balancer to its share of the configured limits.
+func (n *Node) applyResources() {
+	r := n.config.splitResources(n.share, n.baseMemory)
 	n.server.OverflowLimit = r.overflowConnections
 	if n.admin != nil {
 		n.admin.SetMaxConnections(r.maxAdminConnections())
@@ -70,4 +81,7 @@
 	n.descriptors.SetLimit(r.connections)
 	n.bodyBuffers.SetLimit(r.bodyBuffers)
 	n.memory.SetLimit(r.accountBytes)
+	if n.processMemory != nil {
+		n.processMemory.LimitGrowth(r.runtimeGrowth)
+	}
 }
