A process that another may replace uses at most half of the memory

Cause: the process that is replaced had up to the whole limit, and was told to use half when the new one had started. Requests in progress and the heap do not shrink in that time.

Change: while hot restart is enabled, a process uses at most half of the memory, and 1/n of memory and descriptors with n processes.

Why it works: the sum of the parts never passes the limit, whatever the order of starts and ends.

A limit under 16 MB is too little for two processes, as each has 4.3 MB of pages of files and 1.5 MB of the empty runtime: open. The test of peer records asks for the split of descriptors itself in place of a flag.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,7 +52,7 @@
 	admin       *admin.Server // nil if no admin server is configured
 	peers       *peerSync     // nil if hot restart is disabled
 
-	share         float64        // share of the configured limits that this process may use
+	shares        limitShares    // what this process may use
 	processMemory ProcessMemory  // nil if the memory of the process is not limited
 	baseMemory    int            // resident memory of the process before it serves clients, in bytes; 0 if it is not known
 	nextMemoryLog balance.Millis // earliest time of the next log line about the memory
@@ -74,12 +74,12 @@
 		loop:     l,
 		started:  l.Now(),
 		registry: discovery.NewRegistry(c.Settings.ZoneNames),
-		share:    fullShare,
+		shares:   limitShares{descriptors: 1, memory: 1},
 	}
 	l.LimitWait(maxLoopWaitMs)
 	n.Trace = trace.New(log, l.Now, &n.Counters)
 	n.Trace.UpstreamName = n.registry.Name
-	r := c.splitResources(n.share, n.baseMemory)
+	r := c.splitResources(n.shares, n.baseMemory)
 	n.descriptors = loop.NewDescriptorLimiter(r.connections)
 	n.memory = memory.NewAccount(r.accountBytes)
 	n.memory.OnFull(n.logMemory)
--- a/internal/node/overrides_test.go
+++ b/internal/node/overrides_test.go
@@ -123,7 +123,7 @@
 	store := &fakeStore{}
 	r := newHotRestartBalancer(t, store)
 	splitting := func() (s bool) {
-		r.Do(func() { s = r.node.peers.split })
+		r.Do(func() { s = r.node.shares.descriptors < 1 })
 		return s
 	}
 	if splitting() {
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -25,7 +25,6 @@
 	reading bool                    // whether a read of the peers' records is in progress
 	synced  bool                    // whether the peers' records have been read at least once
 	live    []hotrestart.PeerRecord // records of the live peers at the last read
-	split   bool                    // whether the resources are split with a live peer
 
 	record          hotrestart.Record  // state of this process
 	unpublished     bool               // whether the stored record differs from the state of this process
@@ -43,6 +42,8 @@
 		record:      hotrestart.Record{Overrides: map[string]hotrestart.Override{}},
 		unpublished: true,
 	}
+	n.shares = sharesWithPeers(0)
+	n.applyResources()
 }
 
 // ShareExecutedIDs keeps the ids of requests that must not run again in a memory of replay.Size bytes, which the processes of the
@@ -102,20 +103,15 @@
 	}
 }
 
-// splitResources limits this process to half of the descriptors and of the memory while a peer process is live.
+// splitResources divides the descriptors and the memory between this process and its live peers.
 func (p *peerSync) splitResources() {
-	split := len(p.live) > 0
-	if split == p.split {
+	n := p.node
+	shares := sharesWithPeers(len(p.live))
+	if shares == n.shares {
 		return
 	}
-	p.split = split
-	share := fullShare
-	if split {
-		share = peerShare
-	}
-	n := p.node
-	n.share = share
-	n.log.WithField("share", share).Info("share of descriptors and memory changed")
+	n.shares = shares
+	n.log.WithField("share", shares.descriptors).WithField("memory_share", shares.memory).Info("share of descriptors and memory changed")
 	n.applyResources()
 }
 
--- a/internal/node/readiness.go
+++ b/internal/node/readiness.go
@@ -34,7 +34,7 @@
 // syncTimeout returns the time that the start waits for discovery.
 func (n *Node) syncTimeout() balance.Millis {
 	switch {
-	case n.peers != nil && n.peers.split:
+	case n.peers != nil && len(n.peers.live) > 0:
 		return livePeerTimeout
 	case n.config.ListenFD >= 0:
 		return inheritedListenerTimeout
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -31,11 +31,21 @@
 	adminDivisor    = 8
 )
 
-// Shares of the configured limits that a process may use.
-const (
-	fullShare = 1.0 // without a live peer process
-	peerShare = 0.5 // with a live peer process
-)
+// maxHotRestartMemory is the largest share of the memory that a process may use if another one may replace it. Memory that is in use
+// can't be given back as fast as another process starts.
+const maxHotRestartMemory = 0.5
+
+// limitShares are the shares of the configured limits that a process may use.
+type limitShares struct {
+	descriptors float64
+	memory      float64
+}
+
+// sharesWithPeers returns the shares of a process that other processes may replace, and that has a number of live peer processes.
+func sharesWithPeers(peers int) limitShares {
+	share := 1 / float64(1+peers)
+	return limitShares{descriptors: share, memory: min(share, maxHotRestartMemory)}
+}
 
 // resources are the limits of the components of a balancer.
 type resources struct {
@@ -50,11 +60,11 @@
 // maxAdminConnections returns the maximum number of connections of the admin server. One descriptor is for its listening socket.
 func (r resources) maxAdminConnections() int { return r.adminDescriptors - 1 }
 
-// splitResources divides a share of the configured limits between the components. Of the memory, the process needs a number of bytes
-// before it serves.
-func (c *Config) splitResources(share float64, baseMemory int) resources {
-	descriptors := int(share * float64(c.Limits.Sockets))
-	room := max(minMemoryRoom, share*c.Limits.MemoryMB*bytesPerMB-float64(baseMemory))
+// splitResources divides the shares of the configured limits between the components. Of the memory, the process needs a number of
+// bytes before it serves.
+func (c *Config) splitResources(shares limitShares, baseMemory int) resources {
+	descriptors := int(shares.descriptors * float64(c.Limits.Sockets))
+	room := max(minMemoryRoom, shares.memory*c.Limits.MemoryMB*bytesPerMB-float64(baseMemory))
 	account := accountShare * room
 	r := resources{
 		overflowConnections: min(maxOverflowConnections, descriptors/overflowDivisor),
@@ -73,7 +83,7 @@
 
 // applyResources limits the components of the balancer to its share of the configured limits.
 func (n *Node) applyResources() {
-	r := n.config.splitResources(n.share, n.baseMemory)
+	r := n.config.splitResources(n.shares, n.baseMemory)
 	n.server.OverflowLimit = r.overflowConnections
 	if n.admin != nil {
 		n.admin.SetMaxConnections(r.maxAdminConnections())
