Connections that keep others waiting behind a crowd are closed after 0.1 s

Cause: when all descriptors are in use, new connections are accepted on 32 reserved ones. A client that had sent a part of a request, or nothing, held such a descriptor for 1 s, and the next connections waited in the listener's queue: 32 a second.

Change: while connections wait, an overflow connection that was accepted 0.1 s ago is closed if it has no complete request and no unread bytes, or has had its response for as long; the first accepted goes first. One with a part of a request gets 503. The overflow connections are a list in the order of their accepts.

Why it works: a client that was accepted has usually sent its request, so 0.1 s are enough for it, and the queue moves at 320 connections a second. Nothing that was closed so had been forwarded.

--- a/internal/downstream/accept.go
+++ b/internal/downstream/accept.go
@@ -19,7 +19,7 @@
 		if s.listener < 0 {
 			return true
 		}
-		if s.overflowConns >= s.OverflowLimit && !s.shedLeastRecentlyActive(minInactivityUnderPressure) {
+		if s.overflow.Len() >= s.OverflowLimit && !s.shedLeastRecentlyActive(minInactivityUnderPressure) && !s.shedOverflow() {
 			s.pauseAccepting()
 			return false
 		}
@@ -46,8 +46,7 @@
 	withinQuota := !s.Memory.Full(memory.Connections) && s.quota.Acquire()
 	c := newConn(s, fd)
 	if !withinQuota {
-		c.overflow = true
-		s.overflowConns++
+		c.overflow = s.overflow.PushBack(c)
 	}
 	c.startReading()
 	if err := s.Loop.Add(fd, loop.Readable|loop.HangUp, c); err != nil {
@@ -81,7 +80,12 @@
 	if c.server.Memory.Full(memory.Connections) || !c.server.quota.Acquire() {
 		return false
 	}
-	c.overflow = false
-	c.server.overflowConns--
+	c.leaveOverflow()
 	return true
 }
+
+// leaveOverflow ends the time of a connection as an overflow connection.
+func (c *conn) leaveOverflow() {
+	c.server.overflow.Remove(c.overflow)
+	c.overflow = nil
+}
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -1,6 +1,8 @@
 package downstream
 
 import (
+	"container/list"
+
 	"salttrack/balance"
 	"salttrack/internal/exchange"
 	"salttrack/internal/http1"
@@ -28,12 +30,13 @@
 
 // conn is a client connection. It owns its descriptor and its timer until close is called.
 type conn struct {
-	server    *Server
-	fd        int
-	overflow  bool // the connection is an overflow connection, which does not count against the descriptor quota
-	responded bool // at least one response has been sent completely
-	state     state
-	timer     *timer.Timer // timeout of the current state; nil if it has none
+	server     *Server
+	fd         int
+	acceptedAt balance.Millis
+	overflow   *list.Element // element of the server's overflow; nil for a connection that counts against the descriptor quota
+	responded  bool          // at least one response has been sent completely
+	state      state
+	timer      *timer.Timer // timeout of the current state; nil if it has none
 
 	reader         requestReader
 	requestStream  requestStream
@@ -50,7 +53,7 @@
 
 // newConn returns a new connection of the server. The caller has to call startReading.
 func newConn(s *Server, fd int) *conn {
-	c := &conn{server: s, fd: fd}
+	c := &conn{server: s, fd: fd, acceptedAt: s.Loop.Now()}
 	c.reader.conn = c
 	c.reader.unread.conn = c
 	c.reader.decoder = http1.NewRequestDecoder()
@@ -166,8 +169,8 @@
 	c.server.Memory.Add(memory.Connections, -ConnectionBytes)
 	c.reader.release()
 	c.writer.setUnsent(nil)
-	if c.overflow {
-		c.server.overflowConns--
+	if c.overflow != nil {
+		c.leaveOverflow()
 	} else {
 		c.server.quota.Release()
 	}
--- a/internal/downstream/idle.go
+++ b/internal/downstream/idle.go
@@ -1,6 +1,9 @@
 package downstream
 
-import "salttrack/balance"
+import (
+	"salttrack/balance"
+	"salttrack/internal/http1"
+)
 
 // shedIdle closes the least recently active connection that has been inactive for minInactivity or longer and may be closed.
 // It reports whether it has closed one.
@@ -16,7 +19,7 @@
 	for e := s.readingConns.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*conn)
 		inactivity := now - c.reader.lastActivity
-		if !c.overflow && inactivity >= c.reader.minInactivityBeforeShed(minIdle) && len(c.reader.unread.bytes) == 0 && s.Loop.IdleOpen(c.fd) {
+		if c.overflow == nil && inactivity >= c.reader.minInactivityBeforeShed(minIdle) && len(c.reader.unread.bytes) == 0 && s.Loop.IdleOpen(c.fd) {
 			s.counters.connectionsShed.Inc()
 			c.close(reasonShed)
 			return true
@@ -39,3 +42,29 @@
 	}
 	return minIdle
 }
+
+// shedOverflow closes the overflow connection that was accepted first, if it has not sent a complete request within overflowTurn, or
+// has had its response for as long. It reports whether it has closed one. Connections that wait in the listener's queue then get
+// their answers in time. The rejection that is written to an incomplete request may be lost, as nothing was forwarded.
+func (s *Server) shedOverflow() bool {
+	now := s.Loop.Now()
+	for e := s.overflow.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*conn)
+		if now-c.acceptedAt < overflowTurn {
+			return false
+		}
+		incomplete := c.reader.listElement != nil
+		if !incomplete && !c.linger.started || len(c.reader.unread.bytes) > 0 || !s.Loop.IdleOpen(c.fd) {
+			continue
+		}
+		if incomplete && c.reader.decoder.Started() {
+			s.counters.overflowRejected.Inc()
+			head := http1.ResponseHead{Status: http1.StatusServiceUnavailable, Close: true}
+			s.Loop.Write(c.fd, http1.AppendResponse(c.reader.takeUnsentContinue(), head, nil))
+		}
+		s.counters.connectionsShed.Inc()
+		c.close(reasonNoDescriptor)
+		return true
+	}
+	return false
+}
--- a/internal/downstream/limits.go
+++ b/internal/downstream/limits.go
@@ -69,6 +69,10 @@
 	listenerCloseRetryInterval balance.Millis = 5
 )
 
+// overflowTurn is the time in milliseconds for which an overflow connection may keep others waiting in the listener's queue. A client
+// that was accepted has usually sent its request already.
+const overflowTurn balance.Millis = 100
+
 // Minimum time in milliseconds that a connection has to be inactive before it may be closed to free its descriptor.
 const (
 	minInactivity               balance.Millis = 1000 // for an idle connection, and for a new one without a request
--- a/internal/downstream/overflow_test.go
+++ b/internal/downstream/overflow_test.go
@@ -113,8 +113,8 @@
 	c.Close()
 	s.WaitForCounter("client_connections_open", 2)
 	s.Do(func() {
-		if s.server.overflowConns != 0 || s.server.quota.InUse() != 2 {
-			t.Errorf("%d overflow connections, want 0; %d regular connections, want 2", s.server.overflowConns, s.server.quota.InUse())
+		if s.server.overflow.Len() != 0 || s.server.quota.InUse() != 2 {
+			t.Errorf("%d overflow connections, want 0; %d regular connections, want 2", s.server.overflow.Len(), s.server.quota.InUse())
 		}
 	})
 }
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -54,7 +54,7 @@
 	r.body.started = false
 	r.listElement = c.server.readingConns.PushBack(c)
 	switch {
-	case c.overflow:
+	case c.overflow != nil:
 		c.startTimer(overflowTimeout, r.overflowTimedOut)
 	case !c.responded: // a client that sends nothing after connecting must not hold a descriptor for the whole idleTimeout
 		c.startTimer(requestTimeout, c.requestTimedOut)
@@ -161,7 +161,7 @@
 func (r *requestReader) decode(p []byte) (n int, complete bool) {
 	c := r.conn
 	// The timeouts of the first request and of overflow connections count from the accept, so a first byte does not restart them.
-	if !r.decoder.Started() && !c.overflow && c.responded {
+	if !r.decoder.Started() && c.overflow == nil && c.responded {
 		c.startTimer(requestTimeout, c.requestTimedOut)
 	}
 	n, err := r.decoder.Feed(p)
--- a/internal/downstream/response.go
+++ b/internal/downstream/response.go
@@ -52,7 +52,7 @@
 // Requests that have already been received are served first.
 func (c *conn) shouldClose() bool {
 	switch {
-	case c.overflow:
+	case c.overflow != nil:
 		return len(c.reader.unread.bytes) == 0
 	case c.server.shuttingDown() || c.server.quota.NearlyExhausted():
 		return len(c.reader.unread.bytes) == 0 && c.server.Loop.IdleOpen(c.fd)
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -73,7 +73,7 @@
 	conns          map[*conn]struct{}
 	openRequestIDs map[string]struct{}   // ids of the requests that have no response yet
 	readingConns   *list.List            // list of *conn in the state requestReader, the least recently active first
-	overflowConns  int                   // number of overflow connections
+	overflow       *list.List            // list of *conn of overflow connections, in the order of their accepts
 	quota          *loop.DescriptorQuota // quota of descriptors for regular connections
 	queuedSince    balance.Millis        // earliest arrival of the connections that wait in the listener's queue during a pause; 0 if none
 	drain          drain
@@ -96,6 +96,7 @@
 		conns:          map[*conn]struct{}{},
 		openRequestIDs: map[string]struct{}{},
 		readingConns:   list.New(),
+		overflow:       list.New(),
 		readBuffer:     make([]byte, readBufferBytes),
 		counters:       newCounters(o.Counters),
 	}
