Floods of pipelined requests of many clients share the requests of a turn

Cause: each connection may decode 64 requests in a turn of the event loop, so one turn could take 45,000. A flood on a reserved descriptor kept it until its last response, and up to 16 KiB were read ahead from each connection however little memory was left.

Change: all connections together decode at most 256 requests in a turn; the others wait in a queue, overflow connections first. An overflow connection is closed after 64 requests, and 1 s after its accept if its client does not read. At most 1 KiB is read at once while long heads are rejected.

Evidence: TestFewRequestsOfAllFloodsInOneTurn failed before: 1,200 requests in one turn, at most 276 allowed.

--- a/internal/downstream/idle.go
+++ b/internal/downstream/idle.go
@@ -1,6 +1,8 @@
 package downstream
 
 import (
+	"math"
+
 	"salttrack/balance"
 	"salttrack/internal/http1"
 )
@@ -43,9 +45,9 @@
 	return minIdle
 }
 
-// shedOverflow closes the overflow connection that was accepted first, if it has not sent a complete request within overflowTurn, or
-// has had its response for as long. It reports whether it has closed one. Connections that wait in the listener's queue then get
-// their answers in time. The rejection that is written to an incomplete request may be lost, as nothing was forwarded.
+// shedOverflow closes the overflow connection that was accepted first, of those that may be closed. It reports whether it has closed one.
+// Connections that wait in the listener's queue then get their answers in time. The rejection that is written to an incomplete request
+// may be lost, as nothing was forwarded.
 func (s *Server) shedOverflow() bool {
 	now := s.Loop.Now()
 	for e := s.overflow.Front(); e != nil; e = e.Next() {
@@ -53,11 +55,10 @@
 		if now-c.acceptedAt < overflowTurn {
 			return false
 		}
-		incomplete := c.reader.listElement != nil
-		if !incomplete && !c.linger.started || len(c.reader.unread.bytes) > 0 || !s.Loop.IdleOpen(c.fd) {
+		if now-c.acceptedAt < c.overflowTurn() || !s.Loop.IdleOpen(c.fd) {
 			continue
 		}
-		if incomplete && c.reader.decoder.Started() {
+		if c.reader.listElement != nil && c.reader.decoder.Started() {
 			s.counters.overflowRejected.Inc()
 			head := http1.ResponseHead{Status: http1.StatusServiceUnavailable, Close: true}
 			s.Loop.Write(c.fd, http1.AppendResponse(c.reader.takeUnsentContinue(), head, nil))
@@ -68,3 +69,16 @@
 	}
 	return false
 }
+
+// overflowTurn returns the time for which the connection may keep others waiting, from its accept.
+func (c *conn) overflowTurn() balance.Millis {
+	switch {
+	case len(c.reader.unread.bytes) > 0 && !c.linger.started, c.pending.exchange != nil:
+		return math.Inf(1)
+	case c.reader.listElement == nil && !c.linger.started:
+		return overflowWriteTurn
+	case c.reader.listElement != nil && !c.reader.decoder.Started():
+		return overflowSilentTurn
+	}
+	return overflowTurn
+}
--- a/internal/downstream/limits.go
+++ b/internal/downstream/limits.go
@@ -50,6 +50,9 @@
 	readBufferBytes         = 16 << 10 // size of the read buffer in bytes
 	maxRequestsPerResume    = 64       // maximum number of requests that were read before and are decoded in one turn of the event loop
 	shortReadBytes          = 4 << 10  // size of a read in bytes while bodies are not buffered for lack of memory
+	shortestReadBytes       = 1 << 10  // the same while long heads are rejected for lack of memory
+	maxOverflowRequests     = 64       // number of requests on an overflow connection after which it is closed, although more have arrived
+	maxRequestsPerTurn      = 256      // the same for all connections together
 	maxReadsPerTurn         = 16       // maximum number of reads from one connection in one turn of the event loop
 	minBodyBytesPerInterval = 16 << 10 // bytes of a body that a client has to send in each bodyProgressInterval
 )
@@ -69,9 +72,13 @@
 	listenerCloseRetryInterval balance.Millis = 5
 )
 
-// overflowTurn is the time in milliseconds for which an overflow connection may keep others waiting in the listener's queue. A client
-// that was accepted has usually sent its request already.
-const overflowTurn balance.Millis = 100
+// Time in milliseconds for which an overflow connection may keep others waiting in the listener's queue. A client that was accepted has
+// usually sent its request already.
+const (
+	overflowTurn       balance.Millis = 100  // with a part of a request, or after the last response
+	overflowSilentTurn balance.Millis = 250  // without a byte, as a request that crosses the close gets no response
+	overflowWriteTurn  balance.Millis = 1000 // with a response that the client does not read
+)
 
 // Minimum time in milliseconds that a connection has to be inactive before it may be closed to free its descriptor.
 const (
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -10,22 +10,21 @@
 	"salttrack/internal/http1"
 	"salttrack/internal/loop"
 	"salttrack/internal/memory"
-	"salttrack/internal/timer"
 )
 
 // requestReader is the state of a connection that is idle or receives a request.
 // A body that is too large to be buffered is received in the state requestStream.
 type requestReader struct {
-	conn         *conn
-	decoder      *http1.RequestDecoder
-	listElement  *list.Element  // element of the server's readingConns; nil in all other states
-	lastActivity balance.Millis // time at which bytes were last received or the connection became idle
-	receivedAt   balance.Millis // earliest time at which the bytes that are being decoded may have arrived
-	requestCount int            // number of requests that have been dispatched
-	unread       unreadInput    // bytes that were received after the last request
-	resuming     bool           // a call of resume is running
-	resumeTimer  *timer.Timer   // calls resume in the next turn of the loop; nil if it was never set
-	body         bodyProgress
+	conn          *conn
+	decoder       *http1.RequestDecoder
+	listElement   *list.Element  // element of the server's readingConns; nil in all other states
+	lastActivity  balance.Millis // time at which bytes were last received or the connection became idle
+	receivedAt    balance.Millis // earliest time at which the bytes that are being decoded may have arrived
+	requestCount  int            // number of requests that have been dispatched
+	unread        unreadInput    // bytes that were received after the last request
+	resuming      bool           // a call of resume is running
+	resumeElement *list.Element  // element of the server's resumeQueue; nil if the connection is not in it
+	body          bodyProgress
 
 	continueSent   bool   // the server has tried to write 100 Continue and does not try again
 	unsentContinue []byte // rest of 100 Continue that could not be written yet; it is written before the response
@@ -93,34 +92,6 @@
 	}
 }
 
-// resume decodes the bytes that were received after the request whose response has just been sent.
-// A response may be sent while the request is still being decoded, which calls resume again.
-// That call returns at once and the outer call continues, so that hundreds of pipelined requests do not cause deep recursion.
-func (r *requestReader) resume() {
-	if r.resuming {
-		return
-	}
-	r.resuming = true
-	for n := 0; len(r.unread.bytes) > 0 && r.listElement != nil; n++ {
-		if n == maxRequestsPerResume {
-			r.resumeInNextTurn()
-			break
-		}
-		r.decodeOwned(r.unread.take())
-	}
-	r.resuming = false
-}
-
-// resumeInNextTurn calls resume in the next turn of the loop. Until then nothing is read, as it would overtake the unread bytes.
-func (r *requestReader) resumeInNextTurn() {
-	l := r.conn.server.Loop
-	l.Watch(r.conn.fd, loop.HangUp)
-	r.resumeTimer = l.After(0, func() {
-		l.Watch(r.conn.fd, loop.Readable|loop.HangUp)
-		r.resume()
-	})
-}
-
 // idle reports whether no byte of a request has been received since the last response.
 func (r *requestReader) idle() bool { return !r.decoder.Started() && len(r.unread.bytes) == 0 }
 
@@ -143,14 +114,17 @@
 
 // release frees the memory of a connection that is closed.
 func (r *requestReader) release() {
-	r.conn.server.Loop.Timers.Stop(r.resumeTimer)
+	r.leaveResumeQueue()
 	r.unread.clear()
 	r.decoder.Release()
 }
 
 // nextRead returns the part of the read buffer that the next read of a request may fill.
 func (s *Server) nextRead() []byte {
-	if s.Memory.Full(memory.Bodies) {
+	switch {
+	case s.Memory.Full(memory.Heads):
+		return s.readBuffer[:shortestReadBytes]
+	case s.Memory.Full(memory.Bodies):
 		return s.readBuffer[:shortReadBytes]
 	}
 	return s.readBuffer
--- a/internal/downstream/reader_test.go
+++ b/internal/downstream/reader_test.go
@@ -228,3 +228,37 @@
 		c.response()
 	}
 }
+
+// Guards against late responses to other clients while hundreds of clients send requests at full speed: in one turn of the loop, few
+// requests are answered for all of them together.
+func TestFewRequestsOfAllFloodsInOneTurn(t *testing.T) {
+	const clients, flood = 20, 60
+	s := newTestServer(t, 64, 4)
+	var all []*client
+	for range clients {
+		c := s.connect()
+		c.send("GET /-/nope HTTP/1.1\r\n\r\n")
+		c.response()
+		all = append(all, c)
+	}
+	s.Do(func() {
+		for _, c := range all {
+			c.send(strings.Repeat("GET /-/nope HTTP/1.1\r\n\r\n", flood))
+		}
+		requests := 0
+		for conn := range s.server.conns {
+			busyWait(func() bool { return !s.Loop.IdleOpen(conn.fd) })
+			before := conn.reader.requestCount
+			conn.Ready(loop.Readable)
+			requests += conn.reader.requestCount - before
+		}
+		if most := maxRequestsPerTurn + clients; requests == 0 || requests > most { // each read may complete one request
+			t.Errorf("%d requests in one turn, want some and at most %d", requests, most)
+		}
+	})
+	for _, c := range all {
+		for range flood {
+			c.response()
+		}
+	}
+}
--- a/internal/downstream/response.go
+++ b/internal/downstream/response.go
@@ -53,7 +53,7 @@
 func (c *conn) shouldClose() bool {
 	switch {
 	case c.overflow != nil:
-		return len(c.reader.unread.bytes) == 0
+		return len(c.reader.unread.bytes) == 0 || c.reader.requestCount >= maxOverflowRequests
 	case c.server.shuttingDown() || c.server.quota.NearlyExhausted():
 		return len(c.reader.unread.bytes) == 0 && c.server.Loop.IdleOpen(c.fd)
 	}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -76,6 +76,7 @@
 	overflow       *list.List            // list of *conn of overflow connections, in the order of their accepts
 	quota          *loop.DescriptorQuota // quota of descriptors for regular connections
 	queuedSince    balance.Millis        // earliest arrival of the connections that wait in the listener's queue during a pause; 0 if none
+	resumeQueue    resumeQueue
 	drain          drain
 	readBuffer     []byte // shared by all connections; its contents are valid until the next read
 	counters       counters
--- a/internal/downstream/shutdown.go
+++ b/internal/downstream/shutdown.go
@@ -115,6 +115,7 @@
 	for _, c := range s.connsByDescriptor(func(*conn) bool { return true }) {
 		c.close(reasonShutdownCompleted)
 	}
+	s.Loop.Timers.Stop(s.resumeQueue.timer)
 }
 
 // closeIdle closes the idle connections that have already served a request.
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -39,6 +39,7 @@
 	earliestArrival float64 // ms; the events of the current turn were received at this time or later
 	maxWait         int     // ms; 0 means that the duration of a wait is not limited
 	stopped         bool
+	turns           uint64
 
 	hasPosted atomic.Bool
 	mu        sync.Mutex // guards posted
@@ -106,10 +107,14 @@
 	return nil
 }
 
+// Turns returns the number of turns that have started.
+func (l *Loop) Turns() uint64 { return l.turns }
+
 // Turn runs one iteration of the loop: it waits once, and then handles ready descriptors, posted functions and due
 // timers, in this order. Only timers that were due when the wait ended run, so that received bytes are handled before a
 // timeout decides that none were received.
 func (l *Loop) Turn() error {
+	l.turns++
 	waitStart := l.Now()
 	timeout := l.WaitTimeout()
 	n, err := l.kernel.Wait(l.events[:], timeout)
