Where memory allows fewer connections, more descriptors are for rejections

Cause: the memory allows some 470 connections, so half of a crowd of 900 waits in the listener's queue, and 32 reserved descriptors empty it slowly, while over 400 descriptors are not used at all.

Change: descriptors that the memory leaves free are for overflow connections too, for up to a tenth of the account.

--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -12,6 +12,7 @@
 	maxAdminDescriptors    = 64  // descriptors of the admin server, for its listening socket and its connections
 	minConnections         = 8   // connections to clients and upstreams that are allowed under any limit
 	connectionShare        = 0.5 // share of the account that connections without requests may use
+	overflowShare          = 0.1 // the same for overflow connections, if that makes more than maxOverflowConnections
 )
 
 // Division of the memory limit. What the process needs before it serves is subtracted first. The rest is the room of the Go heap, in
@@ -76,11 +77,20 @@
 		r.adminDescriptors = min(maxAdminDescriptors, descriptors/adminDivisor)
 	}
 	r.connections = descriptors - internalDescriptors - r.overflowConnections - r.adminDescriptors
-	r.connections = min(r.connections, int(connectionShare*float64(r.accountBytes))/downstream.ConnectionBytes)
-	r.connections = max(minConnections, r.connections)
+	r.limitByMemory()
 	return r
 }
 
+// limitByMemory lowers the number of connections to what the account has memory for. Some of the descriptors that are free then are
+// for more overflow connections, so that clients whose requests are rejected for lack of memory need not wait.
+func (r *resources) limitByMemory() {
+	fitting := r.accountBytes / downstream.ConnectionBytes
+	connections := max(minConnections, min(r.connections, int(connectionShare*float64(fitting))))
+	spare := r.connections - connections
+	r.overflowConnections = max(r.overflowConnections, min(spare, int(overflowShare*float64(fitting))))
+	r.connections = connections
+}
+
 // applyResources limits the components of the balancer to its share of the configured limits.
 func (n *Node) applyResources() {
 	r := n.config.splitResources(n.shares, n.baseMemory)
