--- a/internal/bodystream/pool.go
+++ b/internal/bodystream/pool.go
@@ -45,13 +45,11 @@
 	return make([]byte, BufferSize)
 }
 
-// put returns a buffer to the pool and notifies waiting streams. Buffers that no stream holds are kept while there is memory.
+// put returns a buffer to the pool and notifies waiting streams. Buffers that no stream holds are kept: buffers that are freed and
+// allocated again would be garbage of many times their size.
 func (p *BufferPool) put(buffer []byte) {
 	p.inUse--
 	p.free = append(p.free, buffer)
-	if p.account.Full(memory.Bodies) {
-		p.keepFree(0)
-	}
 	p.keepFree(p.limit - p.inUse)
 	p.notifyWaiting()
 }
