--- a/internal/admin/connection.go
+++ b/internal/admin/connection.go
@@ -8,6 +8,7 @@
 	"salttrack/balance"
 	"salttrack/internal/http1"
 	"salttrack/internal/loop"
+	"salttrack/internal/memory"
 	"salttrack/internal/timer"
 )
 
@@ -187,5 +188,7 @@
 	c.state = closed
 	c.server.Loop.Timers.Stop(c.timeout)
 	c.server.connections.Remove(c.listElement)
+	c.server.Memory.Add(memory.Connections, -connectionBytes)
+	c.decoder.Release()
 	c.server.Loop.Close(c.fd)
 }
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -12,6 +12,7 @@
 	"salttrack/internal/counter"
 	"salttrack/internal/http1"
 	"salttrack/internal/loop"
+	"salttrack/internal/memory"
 )
 
 // Limits of the server. Times are in ms, and sizes in bytes.
@@ -21,6 +22,7 @@
 
 	maxAcceptsPerEvent = 64
 	readBufferSize     = 4 << 10
+	connectionBytes    = 1 << 10 // about the memory of a connection, in bytes
 )
 
 // Balancer is the balancer that the server reports on and changes. The server calls its methods on the event loop.
@@ -39,7 +41,8 @@
 // Options are the dependencies and limits of a server.
 type Options struct {
 	Loop           *loop.Loop
-	MaxConnections int // maximum number of open connections
+	MaxConnections int             // maximum number of open connections
+	Memory         *memory.Account // counts the memory of the connections; nil for no limit
 	Counters       *counter.Set
 	Balancer       Balancer
 }
@@ -137,11 +140,13 @@
 // serve starts reading from a new connection. It takes ownership of the descriptor.
 func (s *Server) serve(fd int) {
 	c := &connection{server: s, fd: fd, decoder: http1.NewAdminRequestDecoder()}
+	c.decoder.CountMemory(s.Memory)
 	if err := s.Loop.Add(fd, loop.Readable|loop.HangUp, c); err != nil {
 		s.Loop.Close(fd)
 		return
 	}
 	s.Loop.Prioritize(fd)
+	s.Memory.Add(memory.Connections, connectionBytes)
 	c.listElement = s.connections.PushBack(c)
 	c.lastActivity = s.Loop.Now()
 	c.setTimeout(requestTimeout, c.timeOut)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,7 +93,7 @@
 	})
 	n.createDataPath(r)
 	if c.Admin.IsValid() {
-		n.admin = admin.New(admin.Options{Loop: l, MaxConnections: r.maxAdminConnections(), Counters: &n.Counters, Balancer: n})
+		n.admin = admin.New(admin.Options{Loop: l, MaxConnections: r.maxAdminConnections(), Memory: n.memory, Counters: &n.Counters, Balancer: n})
 	}
 	n.registerCounters()
 	return n
