The heap has room for garbage under the least memory limit, and log lines less

Seen (new soak, 8 MB, crowd): peaks of 8.0 to 8.1 MB, 9.4 with the trace enabled, and in a trial with other shares answers 1.5 s late and a shutdown that had not ended at the earliest SIGKILL.

Cause: the account and the soft limit of the Go runtime took no heed of the metadata that the runtime needs once it collects garbage (0.5 MB), nor of fragments. The heap stood at its soft limit with what was in use, so garbage was collected without a pause until the runtime's limit on that let it grow. Queued log lines, up to 256 KiB, were in no account.

Change: 512 KiB are subtracted for that metadata, the heap may grow by 0.9 of the rest, and the account has 0.35 of it. Unchanged pages of the code of shared libraries are unmapped after the measurement, which leaves 0.6 to 1.1 MB as a reserve. Log lines get 1/128 of the limit. A fifth of the account may be overflow connections, for rejections in time.

Why it works: what peers hold with its fragments is well under the soft limit, so there is garbage to collect when it is reached.

--- a/cmd/salttrack/limits.go
+++ b/cmd/salttrack/limits.go
@@ -22,6 +22,12 @@
 	}
 }
 
+// logMemoryDivisor is the part of the memory limit that queued log lines may use: one in so many bytes.
+const logMemoryDivisor = 128
+
+// maxLogBytes returns the number of bytes that queued log lines may use.
+func maxLogBytes(c *node.Config) int { return int(c.Limits.MemoryMB * (1 << 20) / logMemoryDivisor) }
+
 // processMemory implements node.ProcessMemory.
 type processMemory struct {
 	mapped int // bytes that counted for the soft limit of the Go runtime at the last call of Resident
@@ -36,6 +42,9 @@
 	return residentBytes()
 }
 
+// ReleaseStartPages unmaps pages that the start of the program has used.
+func (m *processMemory) ReleaseStartPages() { releaseLibraryPages() }
+
 // LimitGrowth sets the soft memory limit of the Go runtime, which collects garbage more often as its memory approaches the limit. Much
 // of what counts for the limit is mapped and not resident, so the limit is relative to the last call of Resident.
 func (m *processMemory) LimitGrowth(bytes int) { debug.SetMemoryLimit(int64(m.mapped + bytes)) }
--- a/cmd/salttrack/main.go
+++ b/cmd/salttrack/main.go
@@ -41,7 +41,7 @@
 	log := logrus.New()
 	log.SetOutput(queue)
 	log.SetFormatter(logFormatter(os.Getenv(logFormatVariable)))
-	err := run(log)
+	err := run(log, queue)
 	if err != nil {
 		log.Error(err)
 	}
@@ -59,13 +59,14 @@
 	return &logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: logTimeFormat}
 }
 
-// run loads the configuration and runs a balancer until it has shut down.
-func run(log *logrus.Logger) error {
+// run loads the configuration and runs a balancer until it has shut down. The log is written to a queue.
+func run(log *logrus.Logger, queue *logqueue.Queue) error {
 	c, err := node.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
 	applyLimits(c)
+	queue.LimitBytes(maxLogBytes(c))
 	kernel, err := openKernel(c)
 	if err != nil {
 		return err
--- a/internal/logqueue/queue.go
+++ b/internal/logqueue/queue.go
@@ -27,6 +27,7 @@
 	changed     *sync.Cond // signals changes of lines and writing
 	lines       [][]byte
 	queuedBytes int    // total size of lines, in bytes
+	maxBytes    int    // bound of queuedBytes; maxQueuedBytes or less
 	writing     bool   // whether a write to the output is in progress
 	dropped     uint64 // number of lines dropped since the start
 	unreported  uint64 // number of dropped lines that have not been reported to the output
@@ -35,17 +36,24 @@
 
 // New returns a queue for an output. It starts a goroutine that writes to the output until the process exits.
 func New(output io.Writer) *Queue {
-	q := &Queue{output: output}
+	q := &Queue{output: output, maxBytes: maxQueuedBytes}
 	q.changed = sync.NewCond(&q.mu)
 	go q.run()
 	return q
 }
 
+// LimitBytes lowers the bound on the total size of the queued lines to a number of bytes, if it is higher.
+func (q *Queue) LimitBytes(bytes int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.maxBytes = min(bytes, q.maxBytes)
+}
+
 // Write queues a line, or drops it if the queue is full. It never blocks and never fails.
 func (q *Queue) Write(line []byte) (int, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.lines) >= maxQueuedLines || q.queuedBytes+len(line) > maxQueuedBytes {
+	if len(q.lines) >= maxQueuedLines || q.queuedBytes+len(line) > q.maxBytes {
 		q.dropped++
 		q.unreported++
 		return len(line), nil
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -12,6 +12,8 @@
 type ProcessMemory interface {
 	// Resident returns the resident memory in bytes, 0 if it is not known.
 	Resident() int
+	// ReleaseStartPages gives back memory that only the start of the program needs, as far as possible.
+	ReleaseStartPages()
 	// LimitGrowth limits the memory by which the process may grow after the last call of Resident, in bytes. It is a soft limit.
 	LimitGrowth(bytes int)
 }
@@ -22,8 +24,7 @@
 	n.measureBaseMemory()
 }
 
-// measureBaseMemory divides the memory that the process does not need before it serves clients. It is called again when the endpoint
-// list is known.
+// measureBaseMemory divides the memory that the process does not need before it serves clients.
 func (n *Node) measureBaseMemory() {
 	if n.processMemory == nil {
 		return
@@ -32,6 +33,15 @@
 	n.applyResources()
 }
 
+// finishMemoryStart divides the memory again, now that the endpoint list is known. What is given back after the measurement is a
+// reserve.
+func (n *Node) finishMemoryStart() {
+	n.measureBaseMemory()
+	if n.processMemory != nil {
+		n.processMemory.ReleaseStartPages()
+	}
+}
+
 // registerMemoryGauges adds the gauges of the memory account.
 func (n *Node) registerMemoryGauges() {
 	n.Counters.Gauge("buffered_bytes", func() uint64 {
--- a/internal/node/readiness.go
+++ b/internal/node/readiness.go
@@ -66,7 +66,7 @@
 // onListening records that the balancer listens for clients.
 func (n *Node) onListening() {
 	n.listening = true
-	n.measureBaseMemory()
+	n.finishMemoryStart()
 	n.log.WithFields(logrus.Fields{
 		"listen": n.config.Listen,
 		"tier":   n.config.Settings.Tier,
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -12,17 +12,18 @@
 	maxAdminDescriptors    = 64  // descriptors of the admin server, for its listening socket and its connections
 	minConnections         = 8   // connections to clients and upstreams that are allowed under any limit
 	connectionShare        = 0.5 // share of the account that connections without requests may use
-	overflowShare          = 0.1 // the same for overflow connections, if that makes more than maxOverflowConnections
+	overflowShare          = 0.2 // the same for overflow connections, if that makes more than maxOverflowConnections
 )
 
-// Division of the memory limit. What the process needs before it serves is subtracted first. The rest is the room of the Go heap, in
-// which garbage stays for a while, and of what is used beside it.
+// Division of the memory limit. What the process needs before it serves, and what the Go runtime needs for itself later, is subtracted
+// first. The rest is the room for what peers make the process hold, for garbage, and for what passes the limit of the runtime for a moment.
 const (
-	runtimeShare  = 0.75      // share of the room by which the memory of the Go runtime may grow
-	accountShare  = 0.4       // share of the room that peers can make the process hold; the heap may be twice as large
-	minMemoryRoom = 512 << 10 // bytes; without any, nothing could be served
-	bufferShare   = 0.25      // share of the account that buffers of streamed bodies may use
-	bytesPerMB    = 1 << 20
+	runtimeReserve = 512 << 10 // bytes of metadata of the Go runtime that garbage collection needs under load
+	runtimeShare   = 0.9       // share of the room by which the memory of the Go runtime may grow
+	accountShare   = 0.35      // share of the room that peers can make the process hold
+	minMemoryRoom  = 512 << 10 // bytes; without any, nothing could be served
+	bufferShare    = 0.25      // share of the account that buffers of streamed bodies may use
+	bytesPerMB     = 1 << 20
 )
 
 // Divisors of the configured number of descriptors.
@@ -65,13 +66,13 @@
 // bytes before it serves.
 func (c *Config) splitResources(shares limitShares, baseMemory int) resources {
 	descriptors := int(shares.descriptors * float64(c.Limits.Sockets))
-	room := max(minMemoryRoom, shares.memory*c.Limits.MemoryMB*bytesPerMB-float64(baseMemory))
+	room := max(minMemoryRoom, shares.memory*c.Limits.MemoryMB*bytesPerMB-float64(baseMemory)-runtimeReserve)
 	account := accountShare * room
 	r := resources{
 		overflowConnections: min(maxOverflowConnections, descriptors/overflowDivisor),
 		bodyBuffers:         int(bufferShare * account / bodystream.BufferSize),
 		accountBytes:        int(account),
-		runtimeGrowth:       int(runtimeShare * room),
+		runtimeGrowth:       runtimeReserve + int(runtimeShare*room),
 	}
 	if c.Admin.IsValid() {
 		r.adminDescriptors = min(maxAdminDescriptors, descriptors/adminDivisor)
