--- a/cmd/salttrack/soak_crowd_test.go
+++ b/cmd/salttrack/soak_crowd_test.go
@@ -330,7 +330,7 @@
 // exchange sends a request and reads its response. It returns nil in place of the connection if the balancer closes it.
 func (s *crowdSoak) exchange(conn net.Conn, q *usualRequest, started time.Time) (net.Conn, error) {
 	deadline := started.Add(q.remaining)
-	conn.SetDeadline(deadline.Add(crowdSoakLate + ordinaryTolerance))
+	conn.SetDeadline(deadline.Add(crowdSoakLate + usualTolerance))
 	if _, err := io.WriteString(conn, q.text(time.Until(deadline))); err != nil {
 		conn.Close()
 		return nil, err
@@ -342,7 +342,7 @@
 	}
 	over := time.Since(deadline).Milliseconds()
 	s.longestOver.Store(max(s.longestOver.Load(), over))
-	if over > ordinaryTolerance.Milliseconds() && !s.crowd && !s.heldUp.Load() {
+	if over > usualTolerance.Milliseconds() && !s.crowd && !s.heldUp.Load() {
 		s.t.Errorf("seed %d: %s: status %d %d ms after its time", s.seed, q.id, response.StatusCode, over)
 	}
 	conn.SetDeadline(time.Now().Add(waitTimeout)) // of a long response only the first bytes are timed
