Endpoints that are listed after the start count against the memory for peers

Those that were known when the balancer began to serve are in the measured part.

Change: added endpoints count 1 KiB each, up to half of the account, as the balancer has to serve with any list. They are never refused.

--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -171,6 +171,9 @@
 	}
 }
 
+// Listed returns the number of listed endpoints.
+func (r *Registry) Listed() int { return len(r.listed) }
+
 // Lookup returns the id of an upstream that is listed, pinned or was recently removed.
 func (r *Registry) Lookup(name string) (balance.UpstreamID, bool) {
 	id, ok := r.ids[name]
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -1,4 +1,4 @@
-// Package memory accounts for the memory that peers can make the process hold: clients, upstreams and operators. It does no I/O.
+// Package memory accounts for the memory that peers can make the process hold: clients, upstreams, discovery and operators. It does no I/O.
 package memory
 
 import "fmt"
@@ -15,6 +15,7 @@
 	Responses               // responses that their clients have not read yet
 	Requests                // requests in progress with their attempts, and requests that their upstreams have not read yet
 	Connections             // state of connections
+	Endpoints               // endpoints that were listed after the start
 	kinds
 )
 
@@ -28,6 +29,7 @@
 	Responses:   1,    // never refused: the request may have run
 	Requests:    1,    // above it, all requests are rejected; see AdmitsRequest
 	Connections: 1,    // above it, connections are accepted only to reject their requests
+	Endpoints:   1,    // never refused: requests must not go to endpoints that are gone
 }
 
 var kindNames = [kinds]string{
@@ -38,6 +40,7 @@
 	Responses:   "responses",
 	Requests:    "requests",
 	Connections: "connections",
+	Endpoints:   "endpoints",
 }
 
 // String returns the name of a kind in counters and log lines.
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -8,6 +8,9 @@
 // memoryLogInterval is the shortest time between two log lines about the memory, in ms.
 const memoryLogInterval balance.Millis = 1000
 
+// endpointBytes is about the memory of an endpoint in all components, in bytes.
+const endpointBytes = 1 << 10
+
 // ProcessMemory measures and limits the memory of the process.
 type ProcessMemory interface {
 	// Resident returns the resident memory in bytes, 0 if it is not known.
@@ -30,7 +33,17 @@
 		return
 	}
 	n.baseMemory = n.processMemory.Resident()
+	n.baseEndpoints = n.registry.Listed()
 	n.applyResources()
+	n.countEndpoints()
+}
+
+// countEndpoints counts the endpoints that were listed since the memory of the process was measured. They never use up more than half of
+// the account, as the balancer has to serve with any list.
+func (n *Node) countEndpoints() {
+	added := max(0, n.registry.Listed()-n.baseEndpoints)
+	counted := min(added*endpointBytes, n.memory.Limit()/2)
+	n.memory.Add(memory.Endpoints, counted-n.memory.Used(memory.Endpoints))
 }
 
 // finishMemoryStart divides the memory again, now that the endpoint list is known. What is given back after the measurement is a
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,7 @@
 	shares        limitShares    // what this process may use
 	processMemory ProcessMemory  // nil if the memory of the process is not limited
 	baseMemory    int            // resident memory of the process before it serves clients, in bytes; 0 if it is not known
+	baseEndpoints int            // number of endpoints that were listed when baseMemory was measured
 	nextMemoryLog balance.Millis // earliest time of the next log line about the memory
 
 	listening    bool // whether the balancer listens for clients
@@ -155,6 +156,7 @@
 func (n *Node) onEndpointUpdate(u *discovery.Update) {
 	n.registry.ObserveClocks(n.loop.Now(), n.loop.Wall())
 	n.driver.UpdateEndpoints(n.registry.Apply(u, n.pool))
+	n.countEndpoints()
 }
 
 // Start starts discovery and the admin server. The balancer listens for clients as soon as it is synced.
@@ -185,5 +187,6 @@
 	n.pool.Close()
 	n.driver.Close()
 	n.bodyBuffers.Release()
+	n.memory.Add(memory.Endpoints, -n.memory.Used(memory.Endpoints))
 	n.log.WithField("counters", n.Counters.String()).Info("balancer closed")
 }
