--- a/cmd/salttrack/main.go
+++ b/cmd/salttrack/main.go
@@ -74,7 +74,9 @@
 	l := loop.New(kernel)
 	entry := log.WithField("name", c.Name)
 	b := node.New(c, l, entry)
-	b.LimitProcessMemory(&processMemory{})
+	if comparableMemory {
+		b.LimitProcessMemory(&processMemory{})
+	}
 	enableHotRestart(b, c, entry)
 	b.Trace.SetEnabled(os.Getenv(traceVariable) == "on")
 	handleSignals(b, l, entry)
