--- a/internal/downstream/overflow_test.go
+++ b/internal/downstream/overflow_test.go
@@ -1,6 +1,7 @@
 package downstream
 
 import (
+	"strings"
 	"testing"
 
 	"salttrack/balance"
@@ -158,3 +159,20 @@
 	}
 	c.expectEOF()
 }
+
+// Guards against requests that are lost when a client pipelines many on an overflow connection: each has to get a response.
+func TestManyPipelinedOnOverflowConnection(t *testing.T) {
+	const pipelined = 100
+	s := newTestServer(t, 4, 4)
+	for _, txn := range []string{"1", "2", "3"} { // exhausts the server's quota of 3 descriptors
+		s.connect().send(getRequest(txn))
+		s.nextExchange()
+	}
+	c := s.connect()
+	c.send(strings.Repeat(getRequest("4"), pipelined))
+	for n := range pipelined {
+		if resp, _ := c.response(); resp.StatusCode != 503 {
+			t.Errorf("response %d: status %d, want 503", n, resp.StatusCode)
+		}
+	}
+}
