Pipelined requests on a reserved descriptor get their responses again, faster

Two more ways to lose requests on the same path: a close as soon as all that was read is answered, though the kernel holds more; and a timeout that closes a connection while requests of it, which were read, wait for a later turn.

Cause: the limit of 64 made room for clients in the listener's queue.

Change: the limit is gone. The responses of one turn are written at once, requests are decoded where they were read, overflow connections wait first in, first out before all others, and are read when a turn has time for them. While others wait, one closes 0.1 s after its accept when the requests that were read have their responses. Timeouts leave requests alone that were read.

TestManyPipelinedOnOverflowConnection, now with 3,000 requests, and TestTimeoutWhileRequestsWaitForTurn fail before.

KNOWN-RED: requests of a flood that the kernel still holds at that close are lost; new test.

--- a/internal/downstream/idle.go
+++ b/internal/downstream/idle.go
@@ -70,10 +70,25 @@
 	return false
 }
 
+// overflowTurnOver reports whether the connection has kept others waiting for overflowTurn, although it has sent requests all the time.
+// All requests that were read have their responses when its next request is incomplete, and the rejection of that one announces the
+// close.
+func (c *conn) overflowTurnOver() bool {
+	s := c.server
+	return c.overflow != nil && s.queuedSince != 0 && s.Loop.Now()-c.acceptedAt >= overflowTurn
+}
+
+// rejectOverflow rejects the incomplete request of an overflow connection and closes the connection.
+func (c *conn) rejectOverflow() {
+	c.server.counters.overflowRejected.Inc()
+	c.stopReading()
+	c.respondDirectly(http1.ResponseHead{Status: http1.StatusServiceUnavailable, Close: true})
+}
+
 // overflowTurn returns the time for which the connection may keep others waiting, from its accept.
 func (c *conn) overflowTurn() balance.Millis {
 	switch {
-	case len(c.reader.unread.bytes) > 0 && !c.linger.started, c.pending.exchange != nil:
+	case len(c.reader.unread.bytes) > 0, c.pending.exchange != nil:
 		return math.Inf(1)
 	case c.reader.listElement == nil && !c.linger.started:
 		return overflowWriteTurn
--- a/internal/downstream/limits.go
+++ b/internal/downstream/limits.go
@@ -51,7 +51,6 @@
 	maxRequestsPerResume    = 64       // maximum number of requests that were read before and are decoded in one turn of the event loop
 	shortReadBytes          = 4 << 10  // size of a read in bytes while bodies are not buffered for lack of memory
 	shortestReadBytes       = 1 << 10  // the same while long heads are rejected for lack of memory
-	maxOverflowRequests     = 64       // number of requests on an overflow connection after which it is closed, although more have arrived
 	maxRequestsPerTurn      = 256      // the same for all connections together
 	maxReadsPerTurn         = 16       // maximum number of reads from one connection in one turn of the event loop
 	minBodyBytesPerInterval = 16 << 10 // bytes of a body that a client has to send in each bodyProgressInterval
--- a/internal/downstream/linger.go
+++ b/internal/downstream/linger.go
@@ -21,6 +21,7 @@
 	c := l.conn
 	c.state = l
 	l.started = true
+	c.reader.unread.clear()
 	c.server.Loop.CloseWrite(c.fd)
 	c.startTimer(l.timeout, func(c *conn) { c.linger.finish() })
 	c.server.Loop.Watch(c.fd, loop.Readable|loop.HangUp)
--- a/internal/downstream/overflow_test.go
+++ b/internal/downstream/overflow_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"salttrack/balance"
 )
@@ -160,19 +161,75 @@
 	c.expectEOF()
 }
 
-// Guards against requests that are lost when a client pipelines many on an overflow connection: each has to get a response.
+// Guards against requests that are lost when a client pipelines many on an overflow connection, more than are read at once and more
+// than the kernel takes responses for: each has to get a response.
 func TestManyPipelinedOnOverflowConnection(t *testing.T) {
-	const pipelined = 100
+	const pipelined = 3000
 	s := newTestServer(t, 4, 4)
 	for _, txn := range []string{"1", "2", "3"} { // exhausts the server's quota of 3 descriptors
 		s.connect().send(getRequest(txn))
 		s.nextExchange()
 	}
 	c := s.connect()
-	c.send(strings.Repeat(getRequest("4"), pipelined))
+	c.SetReadBuffer(16 << 10)
+	go c.Write([]byte(strings.Repeat(getRequest("4"), pipelined))) // ends when the test closes the connection, at the latest
+	time.Sleep(100 * time.Millisecond)
 	for n := range pipelined {
 		if resp, _ := c.response(); resp.StatusCode != 503 {
-			t.Errorf("response %d: status %d, want 503", n, resp.StatusCode)
+			t.Fatalf("response %d: status %d, want 503", n, resp.StatusCode)
 		}
 	}
 }
+
+// Guards against a timeout that closes a connection while requests of it, which have been read, wait for a later turn.
+func TestTimeoutWhileRequestsWaitForTurn(t *testing.T) {
+	s := newTestServer(t, 4, 4)
+	regular := s.connect()
+	s.WaitForCounter("client_connections_open", 1)
+	for _, txn := range []string{"1", "2"} { // exhausts the server's quota of 3 descriptors
+		s.connect().send(getRequest(txn))
+		s.nextExchange()
+	}
+	overflow := s.connect()
+	s.WaitForCounter("client_connections_open", 4)
+	wait := func(c *conn) {
+		c.reader.unread.append([]byte(getRequest("3")), s.Loop.Now())
+		c.reader.enterResumeQueue()
+	}
+	s.Do(func() {
+		wait(s.server.overflow.Front().Value.(*conn))
+		wait(s.server.readingConns.Front().Value.(*conn))
+		s.Loop.Timers.Stop(s.server.resumeQueue.timer) // the turn has no time for them
+		s.Loop.Timers.Run(s.Loop.Now() + idleTimeout)
+		s.server.resumeQueued()
+	})
+	if resp, _ := overflow.response(); resp.StatusCode != 503 {
+		t.Errorf("overflow connection: status %d, want 503", resp.StatusCode)
+	}
+	s.serve(s.nextExchange(), "ok")
+	if _, got := regular.response(); got != "ok" {
+		t.Errorf("response %q, want %q", got, "ok")
+	}
+}
+
+// Guards against requests that are lost when a client floods an overflow connection while others wait for its descriptor.
+func TestFloodOnOverflowConnectionWhileOthersWait(t *testing.T) {
+	const pipelined = 100000
+	s := newTestServer(t, 4, 1)
+	for _, txn := range []string{"1", "2", "3"} { // exhausts the server's quota of 3 descriptors
+		s.connect().send(getRequest(txn))
+		s.nextExchange()
+	}
+	flooder := s.connect()
+	go flooder.Write([]byte(strings.Repeat(getRequest("4"), pipelined))) // ends when the test closes the connection, at the latest
+	other := s.connect()
+	other.send(getRequest("5"))
+	for n := range pipelined {
+		if resp, _ := flooder.response(); resp.StatusCode != 503 {
+			t.Fatalf("response %d: status %d, want 503", n, resp.StatusCode)
+		}
+	}
+	if resp, _ := other.response(); resp.StatusCode != 503 {
+		t.Errorf("status %d, want 503", resp.StatusCode)
+	}
+}
--- a/internal/downstream/read_ahead.go
+++ b/internal/downstream/read_ahead.go
@@ -1,6 +1,9 @@
 package downstream
 
 import (
+	"bytes"
+	"slices"
+
 	"golang.org/x/sys/unix"
 
 	"salttrack/balance"
@@ -21,7 +24,7 @@
 type unreadInput struct {
 	conn     *conn
 	bytes    []byte
-	size     int       // bytes of memory that they keep in use, counted in the account
+	size     int       // bytes of memory that they keep in use, counted in the account; 0 if they are in the server's read buffer
 	arrivals []arrival // of the bytes, in order
 }
 
@@ -54,6 +57,28 @@
 	}
 	joined := append(u.bytes, p...)
 	u.replace(joined, max(u.size, cap(joined)))
+	u.addArrival(p, at)
+}
+
+// borrow sets bytes in the server's read buffer, which may have arrived at a time or later. The caller has to call own before
+// anything is read into the buffer again.
+func (u *unreadInput) borrow(p []byte, at balance.Millis) {
+	if len(p) > 0 {
+		u.replace(slices.Clip(p), 0)
+		u.addArrival(p, at)
+	}
+}
+
+// own copies the bytes that are left of those in the server's read buffer.
+func (u *unreadInput) own() {
+	if u.size == 0 && len(u.bytes) > 0 {
+		p := bytes.Clone(u.bytes)
+		u.replace(p, cap(p))
+	}
+}
+
+// addArrival records that bytes may have arrived at a time or later.
+func (u *unreadInput) addArrival(p []byte, at balance.Millis) {
 	if last := len(u.arrivals) - 1; last >= 0 && at-u.arrivals[last].at < arrivalResolution {
 		u.arrivals[last].bytes += len(p)
 		return
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -46,11 +46,13 @@
 func (c *conn) startReading() {
 	r := &c.reader
 	c.state = r
-	r.decoder.Reset()
 	r.lastActivity = c.server.Loop.Now()
 	c.server.Loop.MarkRead(c.fd)
-	r.continueSent = false
-	r.body.started = false
+	if !r.decoder.Started() || r.decoder.Complete() { // otherwise flush has interrupted the next request
+		r.decoder.Reset()
+		r.continueSent = false
+		r.body.started = false
+	}
 	r.listElement = c.server.readingConns.PushBack(c)
 	switch {
 	case c.overflow != nil:
@@ -75,9 +77,13 @@
 // so that a client that pipelines hundreds of requests does not delay the others.
 func (r *requestReader) read() {
 	c := r.conn
+	if !r.mayRead() {
+		c.server.Loop.MarkUnreadSince(c.fd, c.server.Loop.EarliestArrivalAt(c.fd))
+		return
+	}
 	count := r.requestCount
 	for i := 0; i < maxReadsPerTurn && r.listElement != nil && r.requestCount == count; i++ {
-		n, err := c.server.Loop.Read(c.fd, c.server.nextRead())
+		n, err := c.server.Loop.Read(c.fd, r.nextRead())
 		switch {
 		case err == unix.EAGAIN:
 			return
@@ -95,11 +101,13 @@
 // idle reports whether no byte of a request has been received since the last response.
 func (r *requestReader) idle() bool { return !r.decoder.Started() && len(r.unread.bytes) == 0 }
 
-// decodeShared decodes bytes in the server's read buffer. It copies the bytes after a complete request, since the buffer is reused.
+// decodeShared decodes bytes in the server's read buffer. Of the bytes after a complete request it copies those that can't be decoded
+// in this turn, since the buffer is reused.
 func (r *requestReader) decodeShared(p []byte) {
 	if n, complete := r.decode(p); complete {
-		r.unread.append(p[n:], r.receivedAt)
+		r.unread.borrow(p[n:], r.receivedAt)
 		r.dispatch()
+		r.unread.own()
 	}
 }
 
@@ -119,9 +127,19 @@
 	r.decoder.Release()
 }
 
+// mayRead reports whether the connection may read in this turn. Further requests of an overflow connection stay in the kernel until a
+// turn has time for them: then they are decoded in the read buffer, and need no memory.
+func (r *requestReader) mayRead() bool {
+	c := r.conn
+	return c.overflow == nil || !c.responded || c.server.resumeQueue.hasTime(c.server.Loop.Turns())
+}
+
 // nextRead returns the part of the read buffer that the next read of a request may fill.
-func (s *Server) nextRead() []byte {
+func (r *requestReader) nextRead() []byte {
+	s := r.conn.server
 	switch {
+	case r.conn.overflow != nil && r.conn.responded:
+		return s.readBuffer
 	case s.Memory.Full(memory.Heads):
 		return s.readBuffer[:shortestReadBytes]
 	case s.Memory.Full(memory.Bodies):
@@ -152,6 +170,10 @@
 		return n, false
 	}
 	if !r.decoder.Complete() {
+		if c.overflowTurnOver() {
+			c.rejectOverflow()
+			return n, false
+		}
 		r.handleIncomplete(n)
 		return n, false
 	}
@@ -188,6 +210,9 @@
 		return
 	}
 	r.continueSent = true
+	if r.conn.writer.appendCollected(http1.ContinueResponse) {
+		return
+	}
 	n, _ := r.conn.server.Loop.Write(r.conn.fd, []byte(http1.ContinueResponse))
 	if n > 0 {
 		r.unsentContinue = []byte(http1.ContinueResponse)[n:]
@@ -201,10 +226,12 @@
 	return p
 }
 
-// overflowTimedOut closes an overflow connection, unless it has received bytes of a request within the last overflowTimeout.
+// overflowTimedOut closes an overflow connection, unless it has received bytes of a request within the last overflowTimeout, or
+// requests of it wait for a turn that has time for them.
 func (c *conn) overflowTimedOut() {
 	r := &c.reader
-	if r.decoder.Started() && c.server.Loop.Now()-r.lastActivity < overflowTimeout {
+	waiting := len(r.unread.bytes) > 0 || !c.server.Loop.IdleOpen(c.fd)
+	if waiting || r.decoder.Started() && c.server.Loop.Now()-r.lastActivity < overflowTimeout {
 		c.startTimer(overflowTimeout, (*conn).overflowTimedOut)
 		return
 	}
@@ -212,9 +239,14 @@
 }
 
 // idleTimedOut closes an idle connection.
-// If the kernel has received bytes of a request that have not been read yet, it reads them instead.
+// If the kernel has received bytes of a request that have not been read yet, it reads them instead. Requests that have been read wait
+// for a turn that has time for them.
 func (r *requestReader) idleTimedOut() {
 	c := r.conn
+	if len(r.unread.bytes) > 0 {
+		c.startTimer(idleTimeout, (*conn).requestTimedOut)
+		return
+	}
 	if !c.server.Loop.IdleOpen(c.fd) {
 		r.read()
 		return
--- a/internal/downstream/response.go
+++ b/internal/downstream/response.go
@@ -36,21 +36,67 @@
 	head.Close = w.closeAfter
 	c.server.counters.responses[head.Status].Inc()
 	w.encode(head, body)
+	if w.collects() {
+		c.startReading()
+		return
+	}
 	c.state = w
 	c.stopTimer()
 	w.write()
 }
 
-// encode encodes a response. A short one, which the kernel usually accepts as a whole, gets no memory of its own.
+// collects reports whether the response waits for further ones, which flush writes at once. That is so on an overflow connection while
+// more requests that have been received are decoded in the same turn: all of them are rejected, and a write of each response takes
+// longer than the rest of its work.
+func (w *responseWriter) collects() bool {
+	r := &w.conn.reader
+	return w.conn.overflow != nil && w.shared && !w.closeAfter && r.resuming && len(r.unread.bytes) > 0
+}
+
+// appendCollected adds text behind the responses that were collected. It reports false if there are none.
+func (w *responseWriter) appendCollected(text string) bool {
+	if !w.shared {
+		return false
+	}
+	w.conn.server.writeBuffer = append(w.unsent, text...)
+	w.unsent = w.conn.server.writeBuffer
+	return true
+}
+
+// flush writes the responses that were collected. If the kernel does not accept them all, the connection reads on when it has.
+func (w *responseWriter) flush() {
+	c := w.conn
+	if !w.shared || c.closed() {
+		return
+	}
+	complete := w.writeAvailable()
+	switch {
+	case c.closed():
+	case complete:
+		w.setUnsent(nil)
+		c.responded = true
+	default:
+		c.stopReading()
+		c.reader.leaveResumeQueue()
+		c.state = w
+		w.waitForClient()
+	}
+}
+
+// encode encodes a response behind those that were collected. A short one, which the kernel usually accepts as a whole, gets no memory
+// of its own.
 func (w *responseWriter) encode(head http1.ResponseHead, body []byte) {
 	c := w.conn
 	interim := c.reader.takeUnsentContinue()
 	s := c.server
-	if len(body) > maxSharedBodyBytes {
+	if !w.shared && len(body) > maxSharedBodyBytes {
 		w.setUnsent(http1.AppendResponse(interim, head, body))
 		return
 	}
-	s.writeBuffer = http1.AppendResponse(append(s.writeBuffer[:0], interim...), head, body)
+	if !w.shared {
+		s.writeBuffer = s.writeBuffer[:0]
+	}
+	s.writeBuffer = http1.AppendResponse(append(s.writeBuffer, interim...), head, body)
 	w.unsent = s.writeBuffer
 	w.shared = true
 }
@@ -66,17 +112,18 @@
 // no exchange is open, and the last response of the connection has not been sent.
 func (c *conn) checkMayRespond() {
 	invariant.Check(!c.closed(), "a closed connection writes no response")
-	invariant.Check(c.writer.unsent == nil && c.pending.exchange == nil && !c.linger.started, "a connection has one response at a time")
+	collected := c.writer.shared && c.reader.resuming
+	invariant.Check((c.writer.unsent == nil || collected) && c.pending.exchange == nil && !c.linger.started, "a connection has one response at a time")
 }
 
 // shouldClose reports whether the connection should end after its response, to reduce the number of connections.
 // Announcing the close in a response is the only way to do so without losing a request.
 // Requests that have already been received are served first.
 func (c *conn) shouldClose() bool {
-	switch {
-	case c.overflow != nil:
-		return len(c.reader.unread.bytes) == 0 || c.reader.requestCount >= maxOverflowRequests
-	case c.server.shuttingDown() || c.server.quota.NearlyExhausted():
+	if c.overflow != nil {
+		return len(c.reader.unread.bytes) == 0 && (c.overflowTurnOver() || c.server.Loop.IdleOpen(c.fd))
+	}
+	if c.server.shuttingDown() || c.server.quota.NearlyExhausted() {
 		return len(c.reader.unread.bytes) == 0 && c.server.Loop.IdleOpen(c.fd)
 	}
 	return false
