--- a/internal/downstream/resume.go
+++ b/internal/downstream/resume.go
@@ -55,10 +55,14 @@
 }
 
 // exhausted reports whether the turn has had its number of requests.
-func (q *resumeQueue) exhausted(turn uint64) bool { return q.turn == turn && q.requests >= maxRequestsPerTurn }
+func (q *resumeQueue) exhausted(turn uint64) bool {
+	return q.turn == turn && q.requests >= maxRequestsPerTurn
+}
 
 // hasTime reports whether the turn has had less than half of its number of requests, so that most of what is read can be decoded in it.
-func (q *resumeQueue) hasTime(turn uint64) bool { return q.turn != turn || q.requests < maxRequestsPerTurn/2 }
+func (q *resumeQueue) hasTime(turn uint64) bool {
+	return q.turn != turn || q.requests < maxRequestsPerTurn/2
+}
 
 // resume decodes the bytes that were received after the request whose response has just been sent.
 // A response may be sent while the request is still being decoded, which calls resume again.
