One account: messages of discovery, requests without a client, fewer finished requests

What operators could see: memory that peers make the process hold and no gauge shows: a message of discovery up to 8 MiB under any limit; the request of a client that has gone, until attempts that may not be cancelled end; 1,024 finished requests, half of the account under 8 MB.

Change: kind "discovery" counts the received part of a message, which may not be longer than the account (256 KiB at least). The driver counts a request from the end of its exchange on while attempts are in flight. 128 finished requests are kept, beside as many as are in progress.

--- a/balance/request.go
+++ b/balance/request.go
@@ -56,7 +56,7 @@
 
 // minSweep is how many requests arrivals may have, beside twice those in progress, until a sweep.
 // It bounds the memory of a flood of requests that are rejected at once, before the next tick.
-const minSweep = 1024
+const minSweep = 128
 
 func newRequestTable() requestTable {
 	return requestTable{byID: map[RequestID]*request{}, sweepAt: minSweep}
--- a/internal/discovery/splitter.go
+++ b/internal/discovery/splitter.go
@@ -1,10 +1,16 @@
 package discovery
 
-import "fmt"
+import (
+	"fmt"
 
+	"salttrack/internal/memory"
+)
+
+// Limits on a message of the discovery service, in bytes.
 const (
-	maxMessageBytes        = 8 << 20  // enough for tens of thousands of endpoints
-	maxRetainedBufferBytes = 64 << 10 // a larger buffer is released after its message was passed on
+	maxMessageBytes        = 8 << 20   // enough for tens of thousands of endpoints
+	minMaxMessageBytes     = 256 << 10 // limit under which a message is accepted however small the account is
+	maxRetainedBufferBytes = 64 << 10  // a larger buffer is released after its message was passed on
 )
 
 // messageSplitter splits a stream of JSON objects into messages. A message may be received in several reads, it may
@@ -12,6 +18,7 @@
 type messageSplitter struct {
 	onMessage   func([]byte) error // the argument is valid only during the call
 	onKeepalive func()
+	account     *memory.Account // counts the buffer; nil for no limit
 
 	buffer      []byte // the part of the incomplete message that was received in earlier reads
 	depth       int    // open braces and brackets in the message, 0 between messages
@@ -47,14 +54,28 @@
 		}
 	}
 	if s.depth > 0 {
-		s.buffer = append(s.buffer, p[start:]...)
+		s.setBuffer(append(s.buffer, p[start:]...))
 	}
-	if len(s.buffer) > maxMessageBytes {
-		return &ProtocolError{Violation: UpdateTooLarge, Detail: fmt.Sprintf("more than %d bytes", maxMessageBytes)}
+	if limit := s.maxBytes(); len(s.buffer) > limit {
+		return &ProtocolError{Violation: UpdateTooLarge, Detail: fmt.Sprintf("more than %d bytes", limit)}
 	}
 	return nil
 }
 
+// maxBytes returns the length in bytes up to which a message is accepted. A message may not need more memory than the account has.
+func (s *messageSplitter) maxBytes() int {
+	return min(maxMessageBytes, max(minMaxMessageBytes, s.account.Limit()))
+}
+
+// setBuffer replaces the buffer.
+func (s *messageSplitter) setBuffer(p []byte) {
+	s.account.Add(memory.Discovery, cap(p)-cap(s.buffer))
+	s.buffer = p
+}
+
+// release frees the buffer. It is called when the stream ends.
+func (s *messageSplitter) release() { s.setBuffer(nil) }
+
 // scanString scans a byte of a JSON string. A line break is an error: JSON strings have none, so the message was
 // truncated.
 func (s *messageSplitter) scanString(b byte) error {
@@ -101,7 +122,7 @@
 	}
 	s.buffer = s.buffer[:0]
 	if cap(s.buffer) > maxRetainedBufferBytes {
-		s.buffer = nil
+		s.setBuffer(nil)
 	}
 	return nil
 }
--- a/internal/discovery/splitter_test.go
+++ b/internal/discovery/splitter_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"strings"
 	"testing"
+
+	"salttrack/internal/memory"
 )
 
 // indented returns a message with line breaks and indentation.
@@ -80,3 +82,22 @@
 		t.Errorf("%v, want %v", err, UpdateTooLarge)
 	}
 }
+
+// Guards against a message that is not counted, or is longer than the memory for peers.
+func TestMessageIsCounted(t *testing.T) {
+	const limit = 1 << 20
+	account := memory.NewAccount(limit)
+	s := messageSplitter{account: account}
+	piece := bytes.Repeat([]byte{'{'}, 64<<10)
+	for len(s.buffer) < limit {
+		if err := s.feed(piece); err != nil || account.Used(memory.Discovery) != cap(s.buffer) {
+			t.Fatalf("%d bytes buffered, %d counted, %v", len(s.buffer), account.Used(memory.Discovery), err)
+		}
+	}
+	if err := s.feed(piece); !errors.Is(err, UpdateTooLarge) {
+		t.Errorf("%v, want %v", err, UpdateTooLarge)
+	}
+	if s.release(); account.Total() != 0 {
+		t.Errorf("%d bytes are counted after the end", account.Total())
+	}
+}
--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -56,7 +56,7 @@
 		acceptAnySnapshot: s.acceptAnySnapshot,
 	}
 	st.decoder = http1.NewResponseDecoder(st.onBody)
-	st.splitter = messageSplitter{onMessage: st.onMessage, onKeepalive: st.onKeepalive}
+	st.splitter = messageSplitter{onMessage: st.onMessage, onKeepalive: st.onKeepalive, account: s.options.Memory}
 	if err := l.Add(fd, loop.Readable|loop.Writable|loop.HangUp, st); err != nil {
 		l.Close(fd)
 		return nil, err
@@ -94,6 +94,7 @@
 func (st *stream) close() {
 	s := st.subscription
 	st.closed = true
+	st.splitter.release()
 	st.loop.Timers.Stop(st.timeoutTimer)
 	st.loop.Close(st.fd)
 	if i := slices.Index(s.streams, st); i >= 0 {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -7,6 +7,7 @@
 
 	"salttrack/internal/counter"
 	"salttrack/internal/loop"
+	"salttrack/internal/memory"
 )
 
 // Options configures a Watcher.
@@ -14,7 +15,8 @@
 	Loop     *loop.Loop
 	Address  netip.AddrPort // of the discovery service
 	Counters *counter.Set
-	OnUpdate func(*Update) // called for each update, in the order of receipt
+	Memory   *memory.Account // counts messages that are being received; nil for no limit
+	OnUpdate func(*Update)   // called for each update, in the order of receipt
 	Log      logrus.FieldLogger
 }
 
--- a/internal/downstream/dispatch.go
+++ b/internal/downstream/dispatch.go
@@ -79,6 +79,7 @@
 	kept := *request
 	r := &kept
 	x := exchange.New(c, r)
+	x.MessageBytes = http1.RequestBytes(r, "")
 	x.Class = class
 	x.ClientRequestID = r.ID
 	x.RequestBody = r.Stream
--- a/internal/driver/events.go
+++ b/internal/driver/events.go
@@ -152,15 +152,25 @@
 	}
 	d.counters.countResponse(response.Disposition)
 	x.Respond(response)
+	d.countRetained(x)
 	d.removeFinished(x)
 	return true
 }
 
+// countRetained counts the request of an exchange that has ended and whose attempts are in flight. Until then, the connection of its
+// client counts the request.
+func (d *Driver) countRetained(x *exchange.Exchange) {
+	if d.exchanges[x.ID] == x {
+		x.RetainedBytes = x.MessageBytes
+		d.memory.Add(memory.Requests, x.RetainedBytes)
+	}
+}
+
 // removeFinished removes an exchange if it has ended and has no attempts in flight.
 func (d *Driver) removeFinished(x *exchange.Exchange) {
 	if x.Finished() && d.exchanges[x.ID] == x {
 		delete(d.exchanges, x.ID)
-		d.memory.Add(memory.Requests, -exchangeBytes)
+		d.memory.Add(memory.Requests, -exchangeBytes-x.RetainedBytes)
 		invariant.Check(len(d.exchanges) >= d.InProgress(), "the driver holds every exchange in progress")
 	}
 }
--- a/internal/driver/requests_test.go
+++ b/internal/driver/requests_test.go
@@ -7,6 +7,7 @@
 	"salttrack/internal/bodystream"
 	"salttrack/internal/exchange"
 	"salttrack/internal/invariant"
+	"salttrack/internal/memory"
 )
 
 func TestServed(t *testing.T) {
@@ -37,6 +38,24 @@
 	}
 }
 
+// Guards against a request that is held but not counted: its client has gone, and its attempt may not be cancelled.
+func TestRequestOfGoneClientIsCounted(t *testing.T) {
+	config := testConfig()
+	config.CanCancel = false
+	f := newFixture(t, config)
+	f.driver.memory = memory.NewAccount(1 << 20)
+	x := f.receive(idempotentClass, 1000)
+	x.MessageBytes = 5000
+	f.driver.ClientDisconnected(x)
+	if used := f.driver.memory.Total(); used != exchangeBytes+5000 {
+		t.Errorf("%d bytes are counted, want %d", used, exchangeBytes+5000)
+	}
+	f.end(f.inFlight[0], balance.OK, "")
+	if used := f.driver.memory.Total(); used != 0 {
+		t.Errorf("%d bytes are counted after the end", used)
+	}
+}
+
 // A client may have closed its connection without the driver having been told yet. The driver then sends neither a first
 // attempt nor a retry, since it asks the client whether it is connected before it sends.
 func TestNothingIsSentForDisconnectedClient(t *testing.T) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -64,6 +64,8 @@
 	RespondBy       balance.Millis // deadline of the final response, by the clock of the event loop
 	ClientDeadline  balance.Millis // time at which the client stops waiting, no earlier than RespondBy
 	Message         any            // decoded request; only the protocol code of the client and upstream sides reads it
+	MessageBytes    int            // memory of Message in bytes
+	RetainedBytes   int            // the part of it that is counted for the exchange, as its client no longer waits
 	Attempts        []*Attempt     // indexed by Attempt.Number
 
 	// RequestBody is the streamed body of the request, nil if the body is buffered. Several attempts may read it in turn,
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -1,7 +1,10 @@
 // Package memory accounts for the memory that peers can make the process hold: clients, upstreams, discovery and operators. It does no I/O.
 package memory
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 // Kind is what memory is used for.
 type Kind uint8
@@ -16,6 +19,7 @@
 	Requests                // requests in progress with their attempts, and requests that their upstreams have not read yet
 	Connections             // state of connections
 	Endpoints               // endpoints that were listed after the start
+	Discovery               // the received part of a message of the discovery service
 	kinds
 )
 
@@ -30,6 +34,7 @@
 	Requests:    1,    // above it, all requests are rejected; see AdmitsRequest
 	Connections: 1,    // above it, connections are accepted only to reject their requests
 	Endpoints:   1,    // never refused: requests must not go to endpoints that are gone
+	Discovery:   1,    // never refused for the same reason; the length of a message has a limit
 }
 
 var kindNames = [kinds]string{
@@ -41,6 +46,7 @@
 	Requests:    "requests",
 	Connections: "connections",
 	Endpoints:   "endpoints",
+	Discovery:   "discovery",
 }
 
 // String returns the name of a kind in counters and log lines.
@@ -64,8 +70,13 @@
 // SetLimit changes the limit, in bytes. Memory that is in use stays in use.
 func (a *Account) SetLimit(limit int) { a.limit = limit }
 
-// Limit returns the limit in bytes.
-func (a *Account) Limit() int { return a.limit }
+// Limit returns the limit in bytes, or math.MaxInt if there is none.
+func (a *Account) Limit() int {
+	if a == nil {
+		return math.MaxInt
+	}
+	return a.limit
+}
 
 // Add records that the memory of a kind has grown by a number of bytes, which may be negative.
 func (a *Account) Add(kind Kind, bytes int) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,6 +89,7 @@
 		Loop:     l,
 		Address:  c.Discovery,
 		Counters: &n.Counters,
+		Memory:   n.memory,
 		OnUpdate: n.onEndpointUpdate,
 		Log:      log,
 	})
