--- a/internal/downstream/limits.go
+++ b/internal/downstream/limits.go
@@ -77,7 +77,7 @@
 // Time in milliseconds for which an overflow connection may keep others waiting in the listener's queue. A client that was accepted has
 // usually sent its request already.
 const (
-	overflowTurn       balance.Millis = 100  // with a part of a request, or after the last response
+	overflowTurn       balance.Millis = 50   // with a part of a request, or after the last response
 	overflowSilentTurn balance.Millis = 250  // without a byte, as a request that crosses the close gets no response
 	overflowWriteTurn  balance.Millis = 1000 // with a response that the client does not read
 )
