--- a/internal/simulation/mutation/defects_connections_test.go
+++ b/internal/simulation/mutation/defects_connections_test.go
@@ -10,9 +10,9 @@
 		edits: []edit{
 			{
 				file: "internal/downstream/response.go",
-				old: `	c.startTimer(responseWriteTimeout, w.timedOut)
+				old: `	c.stopTimer()
 	w.write()`,
-				new: `	if c.startTimer(responseWriteTimeout, w.timedOut); head.Status == 503 {
+				new: `	if c.stopTimer(); head.Status == 503 {
 		w.unsent = append(w.unsent, w.unsent...)
 	}
 	w.write()`,
@@ -145,7 +145,7 @@
 		edits: []edit{
 			{
 				file: "internal/downstream/reader.go",
-				old: `		c.startTimer(requestTimeout, c.requestTimedOut)
+				old: `		c.startTimer(requestTimeout, (*conn).requestTimedOut)
 	default:`,
 				new: `	default:`,
 			},
