--- a/cmd/salttrack/soak_crowd_test.go
+++ b/cmd/salttrack/soak_crowd_test.go
@@ -277,21 +277,6 @@
 	}
 }
 
-// usualRequest is a short request that has to get one final response in time.
-type usualRequest struct {
-	id        string
-	get       bool
-	remaining time.Duration
-	sentAt    time.Time // when it was last written
-}
-
-func (q *usualRequest) text(remaining time.Duration) string {
-	if q.get {
-		return fmt.Sprintf("GET /read/x HTTP/1.1\r\nX-Txn: %s\r\nX-Lane: read\r\nX-Remaining: %.3f\r\n\r\n", q.id, remaining.Seconds())
-	}
-	return fmt.Sprintf("POST /pay/x HTTP/1.1\r\nX-Txn: %s\r\nX-Lane: pay\r\nX-Remaining: %.3f\r\nContent-Length: 4\r\n\r\nabcd", q.id, remaining.Seconds())
-}
-
 // send sends a request on a kept connection, and once more on a new one if it crosses a close. It returns the connection if the
 // balancer keeps it.
 func (s *crowdSoak) send(kept net.Conn, q *usualRequest) net.Conn {
--- a/cmd/salttrack/usual_clients_test.go
+++ b/cmd/salttrack/usual_clients_test.go
@@ -111,3 +111,18 @@
 	return fmt.Sprintf("usual clients: %d sent, %d served, %d without a response in time, longest %d ms",
 		u.sent.Load(), u.served.Load(), u.late.Load(), u.longestMS.Load())
 }
+
+// usualRequest is a short request that has to get one final response in time.
+type usualRequest struct {
+	id        string
+	get       bool
+	remaining time.Duration
+	sentAt    time.Time // when it was last written
+}
+
+func (q *usualRequest) text(remaining time.Duration) string {
+	if q.get {
+		return fmt.Sprintf("GET /read/x HTTP/1.1\r\nX-Txn: %s\r\nX-Lane: read\r\nX-Remaining: %.3f\r\n\r\n", q.id, remaining.Seconds())
+	}
+	return fmt.Sprintf("POST /pay/x HTTP/1.1\r\nX-Txn: %s\r\nX-Lane: pay\r\nX-Remaining: %.3f\r\nContent-Length: 4\r\n\r\nabcd", q.id, remaining.Seconds())
+}
