--- a/cmd/salttrack/memory_watch_test.go
+++ b/cmd/salttrack/memory_watch_test.go
@@ -37,7 +37,7 @@
 	mu     sync.Mutex
 	pids   []int
 	peakMB float64
-	detail string // what the memory was at the peak
+	detail string // kinds of resident memory of each process at the peak
 	done   chan struct{}
 	ended  sync.WaitGroup
 }
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -37,7 +37,7 @@
 	responded  bool          // at least one response has been sent completely
 	state      state
 	timer      *timer.Timer // timeout of the current state, which runs onTimeout; not pending if it has none
-	onTimeout  func(*conn)
+	onTimeout  func(*conn)  // called when the current state has taken too long
 
 	reader         requestReader
 	requestStream  requestStream
--- a/internal/downstream/dispatch.go
+++ b/internal/downstream/dispatch.go
@@ -33,7 +33,7 @@
 	case invalid != nil:
 		c.traceRejected(&r, invalid.Status, reasonInvalidRequest)
 		c.reject(invalid.Status)
-	case c.overflow != nil && (c.writer.shared || !c.promoteFromOverflow()): // responses that were collected come first
+	case c.overflow != nil && (c.writer.inWriteBuffer || !c.promoteFromOverflow()): // responses that were collected come first
 		s.counters.overflowRejected.Inc()
 		c.traceRejected(&r, http1.StatusServiceUnavailable, reasonNoDescriptor)
 		c.respondDirectly(http1.ResponseHead{Status: http1.StatusServiceUnavailable})
--- a/internal/downstream/linger.go
+++ b/internal/downstream/linger.go
@@ -16,7 +16,7 @@
 	timeout balance.Millis // lingerTimeout or incompleteRequestLinger
 }
 
-// start closes the sending side of the connection and begins to discard input.
+// start closes the sending side of the connection and begins to discard input, beginning with what was read behind the last request.
 func (l *lingeringClose) start() {
 	c := l.conn
 	c.state = l
--- a/internal/downstream/overflow_test.go
+++ b/internal/downstream/overflow_test.go
@@ -8,6 +8,26 @@
 	"salttrack/balance"
 )
 
+// exhaustQuota opens a connection for each id and sends a request on it, whose exchange stays open. With these, the server's quota of
+// descriptors is exhausted.
+func (s *testServer) exhaustQuota(ids ...string) {
+	s.T.Helper()
+	for _, id := range ids {
+		s.connect().send(getRequest(id))
+		s.nextExchange()
+	}
+}
+
+// expectRejections reads a number of responses, whose status has to be 503.
+func (c *client) expectRejections(count int) {
+	c.t.Helper()
+	for n := range count {
+		if resp, _ := c.response(); resp.StatusCode != 503 {
+			c.t.Fatalf("response %d: status %d, want 503", n, resp.StatusCode)
+		}
+	}
+}
+
 // When the descriptor quota is exhausted, only connections that have been inactive for minInactivity may be shed,
 // responses have to announce the end of their connections, and requests on overflow connections have to be rejected.
 func TestDescriptorQuotaExhausted(t *testing.T) {
@@ -147,10 +167,7 @@
 // Each pipelined request on an overflow connection has to get a response. The connection closes after the last one.
 func TestPipelinedOnOverflowConnection(t *testing.T) {
 	s := newTestServer(t, 4, 4)
-	for _, txn := range []string{"1", "2", "3"} { // exhausts the server's quota of 3 descriptors
-		s.connect().send(getRequest(txn))
-		s.nextExchange()
-	}
+	s.exhaustQuota("1", "2", "3")
 	c := s.connect()
 	c.send(getRequest("4") + getRequest("5") + getRequest("6"))
 	for n := range 3 {
@@ -166,19 +183,12 @@
 func TestManyPipelinedOnOverflowConnection(t *testing.T) {
 	const pipelined = 3000
 	s := newTestServer(t, 4, 4)
-	for _, txn := range []string{"1", "2", "3"} { // exhausts the server's quota of 3 descriptors
-		s.connect().send(getRequest(txn))
-		s.nextExchange()
-	}
+	s.exhaustQuota("1", "2", "3")
 	c := s.connect()
 	c.SetReadBuffer(16 << 10)
 	go c.Write([]byte(strings.Repeat(getRequest("4"), pipelined))) // ends when the test closes the connection, at the latest
 	time.Sleep(100 * time.Millisecond)
-	for n := range pipelined {
-		if resp, _ := c.response(); resp.StatusCode != 503 {
-			t.Fatalf("response %d: status %d, want 503", n, resp.StatusCode)
-		}
-	}
+	c.expectRejections(pipelined)
 }
 
 // Guards against a timeout that closes a connection while requests of it, which have been read, wait for a later turn.
@@ -186,10 +196,7 @@
 	s := newTestServer(t, 4, 4)
 	regular := s.connect()
 	s.WaitForCounter("client_connections_open", 1)
-	for _, txn := range []string{"1", "2"} { // exhausts the server's quota of 3 descriptors
-		s.connect().send(getRequest(txn))
-		s.nextExchange()
-	}
+	s.exhaustQuota("1", "2")
 	overflow := s.connect()
 	s.WaitForCounter("client_connections_open", 4)
 	wait := func(c *conn) {
@@ -216,19 +223,12 @@
 func TestFloodOnOverflowConnectionWhileOthersWait(t *testing.T) {
 	const pipelined = 100000
 	s := newTestServer(t, 4, 1)
-	for _, txn := range []string{"1", "2", "3"} { // exhausts the server's quota of 3 descriptors
-		s.connect().send(getRequest(txn))
-		s.nextExchange()
-	}
+	s.exhaustQuota("1", "2", "3")
 	flooder := s.connect()
 	go flooder.Write([]byte(strings.Repeat(getRequest("4"), pipelined))) // ends when the test closes the connection, at the latest
 	other := s.connect()
 	other.send(getRequest("5"))
-	for n := range pipelined {
-		if resp, _ := flooder.response(); resp.StatusCode != 503 {
-			t.Fatalf("response %d: status %d, want 503", n, resp.StatusCode)
-		}
-	}
+	flooder.expectRejections(pipelined)
 	if resp, _ := other.response(); resp.StatusCode != 503 {
 		t.Errorf("status %d, want 503", resp.StatusCode)
 	}
--- a/internal/downstream/read_ahead.go
+++ b/internal/downstream/read_ahead.go
@@ -60,8 +60,8 @@
 	u.addArrival(p, at)
 }
 
-// borrow sets bytes in the server's read buffer, which may have arrived at a time or later. The caller has to call own before
-// anything is read into the buffer again.
+// borrow sets bytes in the server's read buffer, which may have arrived at a time or later. The caller has to call
+// copyFromReadBuffer before anything is read into the buffer again.
 func (u *unreadInput) borrow(p []byte, at balance.Millis) {
 	if len(p) > 0 {
 		u.replace(slices.Clip(p), 0)
@@ -69,8 +69,8 @@
 	}
 }
 
-// own copies the bytes that are left of those in the server's read buffer.
-func (u *unreadInput) own() {
+// copyFromReadBuffer copies the bytes that are left of those in the server's read buffer.
+func (u *unreadInput) copyFromReadBuffer() {
 	if u.size == 0 && len(u.bytes) > 0 {
 		p := bytes.Clone(u.bytes)
 		u.replace(p, cap(p))
--- a/internal/downstream/reader.go
+++ b/internal/downstream/reader.go
@@ -107,7 +107,7 @@
 	if n, complete := r.decode(p); complete {
 		r.unread.borrow(p[n:], r.receivedAt)
 		r.dispatch()
-		r.unread.own()
+		r.unread.copyFromReadBuffer()
 	}
 }
 
--- a/internal/downstream/response.go
+++ b/internal/downstream/response.go
@@ -11,12 +11,12 @@
 
 // responseWriter is the state of a connection on which a response with a complete body is being written.
 type responseWriter struct {
-	conn       *conn
-	unsent     []byte // unsent bytes of the response, or of the head of a streamed response
-	shared     bool   // they are in the server's write buffer, which the next response overwrites
-	size       int    // bytes of memory that they keep in use, counted in the account
-	closeAfter bool   // the connection ends after the current response
-	writing    bool   // a call of write is running
+	conn          *conn
+	unsent        []byte // unsent bytes of the response, or of the head of a streamed response
+	inWriteBuffer bool   // they are in the server's write buffer, which the next response overwrites
+	size          int    // bytes of memory that they keep in use, counted in the account
+	closeAfter    bool   // the connection ends after the current response
+	writing       bool   // a call of write is running
 }
 
 // respond starts to write a response with a complete body.
@@ -50,12 +50,12 @@
 // longer than the rest of its work.
 func (w *responseWriter) collects() bool {
 	r := &w.conn.reader
-	return w.conn.overflow != nil && w.shared && !w.closeAfter && r.resuming && len(r.unread.bytes) > 0
+	return w.conn.overflow != nil && w.inWriteBuffer && !w.closeAfter && r.resuming && len(r.unread.bytes) > 0
 }
 
 // appendCollected adds text behind the responses that were collected. It reports false if there are none.
 func (w *responseWriter) appendCollected(text string) bool {
-	if !w.shared {
+	if !w.inWriteBuffer {
 		return false
 	}
 	w.conn.server.writeBuffer = append(w.unsent, text...)
@@ -66,7 +66,7 @@
 // flush writes the responses that were collected. If the kernel does not accept them all, the connection reads on when it has.
 func (w *responseWriter) flush() {
 	c := w.conn
-	if !w.shared || c.closed() {
+	if !w.inWriteBuffer || c.closed() {
 		return
 	}
 	complete := w.writeAvailable()
@@ -89,21 +89,21 @@
 	c := w.conn
 	interim := c.reader.takeUnsentContinue()
 	s := c.server
-	if !w.shared && len(body) > maxSharedBodyBytes {
+	if !w.inWriteBuffer && len(body) > maxSharedBodyBytes {
 		w.setUnsent(http1.AppendResponse(interim, head, body))
 		return
 	}
-	if !w.shared {
+	if !w.inWriteBuffer {
 		s.writeBuffer = s.writeBuffer[:0]
 	}
 	s.writeBuffer = http1.AppendResponse(append(s.writeBuffer, interim...), head, body)
 	w.unsent = s.writeBuffer
-	w.shared = true
+	w.inWriteBuffer = true
 }
 
-// own copies unsent bytes that are in the server's write buffer.
-func (w *responseWriter) own() {
-	if w.shared {
+// copyFromWriteBuffer copies unsent bytes that are in the server's write buffer, which the next response overwrites.
+func (w *responseWriter) copyFromWriteBuffer() {
+	if w.inWriteBuffer {
 		w.setUnsent(bytes.Clone(w.unsent))
 	}
 }
@@ -112,7 +112,7 @@
 // no exchange is open, and the last response of the connection has not been sent.
 func (c *conn) checkMayRespond() {
 	invariant.Check(!c.closed(), "a closed connection writes no response")
-	collected := c.writer.shared && c.reader.resuming
+	collected := c.writer.inWriteBuffer && c.reader.resuming
 	invariant.Check((c.writer.unsent == nil || collected) && c.pending.exchange == nil && !c.linger.started, "a connection has one response at a time")
 }
 
@@ -173,7 +173,7 @@
 // waitForClient is called when the kernel accepts no more bytes of the response, or no more have been received. A response with a
 // complete body has a timeout from its first unsuccessful write on, and a streamed one from its start on.
 func (w *responseWriter) waitForClient() {
-	w.own()
+	w.copyFromWriteBuffer()
 	if !w.conn.timer.Pending() {
 		w.conn.startTimer(responseWriteTimeout, func(c *conn) { c.writer.timedOut() })
 	}
@@ -183,7 +183,7 @@
 func (w *responseWriter) setUnsent(p []byte) {
 	w.conn.server.Memory.Add(memory.Responses, cap(p)-w.size)
 	w.unsent, w.size = p, cap(p)
-	w.shared = false
+	w.inWriteBuffer = false
 }
 
 // next returns the next bytes to write. They are empty if no more bytes of the response are available.
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -40,7 +40,7 @@
 	maxWait         int     // ms; 0 means that the duration of a wait is not limited
 	stopped         bool
 	turns           uint64
-	onYield         func()
+	onYield         func() // called by Yield
 
 	hasPosted atomic.Bool
 	mu        sync.Mutex // guards posted
