The memory of the process is compared with its limit while it runs, in the log and gauges

Cause: a process that is killed logs nothing, and the account knows only what peers make it hold. What the kernel buffers, files, and code outside the account use was in no log line and no counter.

Change: memory.Monitor compares resident memory, the buffers of all sockets (SO_MEMINFO), 2 KiB for each connection and the files of a hot restart with the limit, four times a second, and every 25 ms above half of the room. A change of its level is a log line with all parts; six gauges have them too. Nothing is refused by it yet.

TestMemoryLevelIsReported needs the new code.

--- a/cmd/salttrack/main.go
+++ b/cmd/salttrack/main.go
@@ -79,7 +79,7 @@
 	entry := log.WithField("name", c.Name)
 	b := node.New(c, l, entry)
 	if comparableMemory {
-		b.LimitProcessMemory(&processMemory{})
+		b.LimitProcessMemory(newProcessMemory())
 	}
 	enableHotRestart(b, c, entry)
 	b.Trace.SetEnabled(os.Getenv(traceVariable) == "on")
--- /dev/null
+++ b/cmd/salttrack/process_memory.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+
+	"golang.org/x/sys/unix"
+)
+
+// processMemory implements node.ProcessMemory.
+type processMemory struct {
+	mapped int       // bytes that counted for the soft limit of the Go runtime at the last call of Baseline
+	statm  int       // descriptor of /proc/self/statm, -1 if the kernel does not tell
+	text   [256]byte // content of that file
+}
+
+// newProcessMemory returns the memory of this process.
+func newProcessMemory() *processMemory {
+	fd, err := unix.Open("/proc/self/statm", unix.O_RDONLY|unix.O_CLOEXEC, 0)
+	if err != nil {
+		fd = -1
+	}
+	return &processMemory{statm: fd}
+}
+
+// Baseline returns the resident memory of the process in bytes, without garbage.
+func (m *processMemory) Baseline() int {
+	debug.FreeOSMemory()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	m.mapped = int(stats.Sys - stats.HeapReleased)
+	return m.Resident()
+}
+
+// Resident returns the resident memory of the process, in bytes: its anonymous memory, the pages of its files and shared
+// memory. It returns 0 if the kernel does not tell.
+func (m *processMemory) Resident() int {
+	n, err := unix.Pread(m.statm, m.text[:], 0)
+	if err != nil {
+		return 0
+	}
+	_, numbers, _ := bytes.Cut(m.text[:n], []byte{' '}) // the second one is the number of resident pages
+	resident, _, _ := bytes.Cut(numbers, []byte{' '})
+	pages, err := strconv.Atoi(string(resident))
+	if err != nil {
+		return 0
+	}
+	return pages * os.Getpagesize()
+}
+
+// ReleaseStartPages unmaps pages that the start of the program has used.
+func (m *processMemory) ReleaseStartPages() { releaseLibraryPages() }
+
+// LimitGrowth sets the soft memory limit of the Go runtime, which collects garbage more often as its memory approaches the limit. Much
+// of what counts for the limit is mapped and not resident, so the limit is relative to the last call of Baseline.
+func (m *processMemory) LimitGrowth(bytes int) { debug.SetMemoryLimit(int64(m.mapped + bytes)) }
--- a/internal/epoll/kernel.go
+++ b/internal/epoll/kernel.go
@@ -162,5 +162,8 @@
 // CanWrite reports whether a third of the kernel's send buffer is free, or the connection is broken.
 func (k *Kernel) CanWrite(fd int) bool { return CanWrite(fd) }
 
+// BufferedBytes returns the memory of the kernel's buffers of a connection in bytes, 0 if the kernel does not tell.
+func (k *Kernel) BufferedBytes(fd int) int { return BufferedBytes(fd) }
+
 // CloseWrite closes the writing side of a connection.
 func (k *Kernel) CloseWrite(fd int) { unix.Shutdown(fd, unix.SHUT_WR) }
--- /dev/null
+++ b/internal/epoll/socket_memory.go
@@ -0,0 +1,33 @@
+package epoll
+
+import (
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// socketMemory is the memory of a socket as the kernel reports it for the option SO_MEMINFO, in bytes.
+type socketMemory struct {
+	received       uint32 // bytes that wait for this process
+	receiveLimit   uint32
+	sending        uint32 // bytes that are in transit
+	sendLimit      uint32
+	forwardAlloc   uint32
+	queuedToSend   uint32 // bytes that wait for the peer; they include those in transit
+	options        uint32
+	backlog        uint32
+	droppedPackets uint32
+}
+
+// BufferedBytes returns the memory of the kernel's buffers of a connection in bytes, with the kernel's overhead. It returns 0 if the
+// kernel does not tell, or the descriptor is not a socket.
+func BufferedBytes(fd int) int {
+	var m socketMemory
+	size := uint32(unsafe.Sizeof(m))
+	_, _, err := unix.Syscall6(unix.SYS_GETSOCKOPT, uintptr(fd), unix.SOL_SOCKET, unix.SO_MEMINFO,
+		uintptr(unsafe.Pointer(&m)), uintptr(unsafe.Pointer(&size)), 0)
+	if err != 0 {
+		return 0
+	}
+	return int(m.received) + int(m.queuedToSend)
+}
--- a/internal/hotrestart/directory.go
+++ b/internal/hotrestart/directory.go
@@ -112,6 +112,7 @@
 	}
 	var peers PeerRecords
 	for _, entry := range entries {
+		peers.FileBytes += fileBytes(entry)
 		process, isLock := strings.CutSuffix(entry.Name(), lockSuffix)
 		if !isLock || process == d.process {
 			continue
@@ -134,6 +135,15 @@
 	return peers, nil
 }
 
+// fileBytes returns the size of a file in bytes, 0 if it was removed.
+func fileBytes(entry os.DirEntry) int {
+	info, err := entry.Info()
+	if err != nil {
+		return 0
+	}
+	return int(info.Size())
+}
+
 // isUnlocked reports whether no process holds the lock on a file.
 func isUnlocked(path string) bool {
 	f, err := os.Open(path)
--- a/internal/hotrestart/record.go
+++ b/internal/hotrestart/record.go
@@ -30,4 +30,6 @@
 
 	// Unreadable has a *RecordError for each unreadable record. The same error is reported only once.
 	Unreadable []error
+
+	FileBytes int // size of all files of the store, in bytes
 }
--- a/internal/loop/kernel.go
+++ b/internal/loop/kernel.go
@@ -49,6 +49,8 @@
 	CanWrite(fd int) bool
 	// CloseWrite closes the writing side of a connection.
 	CloseWrite(fd int)
+	// BufferedBytes returns the memory of the kernel's buffers of a connection in bytes, 0 if the kernel does not tell.
+	BufferedBytes(fd int) int
 }
 
 // Kernel is the interface of a loop to the operating system or to a simulation of it.
--- a/internal/loop/watch.go
+++ b/internal/loop/watch.go
@@ -93,6 +93,17 @@
 	return count
 }
 
+// BufferedBytesOfAll returns the memory of the kernel's buffers of all watched connections, in bytes.
+func (l *Loop) BufferedBytesOfAll() int {
+	sum := 0
+	for fd := range l.watches {
+		if l.watches[fd].handler != nil {
+			sum += l.BufferedBytes(fd)
+		}
+	}
+	return sum
+}
+
 // dispatch calls the handlers of ready descriptors, the prioritized ones first. A handler may close or add any
 // descriptor.
 func (l *Loop) dispatch(events []Event) {
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -13,11 +13,13 @@
 
 // ProcessMemory measures and limits the memory of the process.
 type ProcessMemory interface {
-	// Resident returns the resident memory in bytes, 0 if it is not known.
+	// Baseline returns the resident memory without garbage in bytes, 0 if it is not known.
+	Baseline() int
+	// Resident returns the resident memory in bytes, 0 if it is not known. It is called several times a second.
 	Resident() int
 	// ReleaseStartPages gives back memory that only the start of the program needs, as far as possible.
 	ReleaseStartPages()
-	// LimitGrowth limits the memory by which the process may grow after the last call of Resident, in bytes. It is a soft limit.
+	// LimitGrowth limits the memory by which the process may grow after the last call of Baseline, in bytes. It is a soft limit.
 	LimitGrowth(bytes int)
 }
 
@@ -32,7 +34,7 @@
 	if n.processMemory == nil {
 		return
 	}
-	n.baseMemory = n.processMemory.Resident()
+	n.baseMemory = n.processMemory.Baseline()
 	n.baseEndpoints = n.registry.Listed()
 	n.applyResources()
 	n.countEndpoints()
@@ -60,6 +62,7 @@
 	n.Counters.Gauge("buffered_bytes", func() uint64 {
 		return uint64(n.memory.Used(memory.Bodies) + n.memory.Used(memory.ReadAhead))
 	})
+	n.memoryMonitor.registerGauges()
 	n.Counters.Gauge("memory_limit_bytes", func() uint64 { return uint64(n.memory.Limit()) })
 	n.Counters.Gauge("memory_bytes", func() uint64 { return uint64(n.memory.Total()) })
 	for _, kind := range memory.Kinds() {
--- /dev/null
+++ b/internal/node/memory_monitor.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"salttrack/balance"
+	"salttrack/internal/memory"
+	"salttrack/internal/timer"
+)
+
+// Time in ms between two comparisons of the memory of the process with its limit.
+const (
+	memoryCheckInterval      balance.Millis = 250
+	memoryCheckUnderPressure balance.Millis = 25 // at any level but normal
+)
+
+// descriptorKernelBytes is about the memory of the kernel for a connection beside its buffers, in bytes: its file, inode and watch.
+const descriptorKernelBytes = 2 << 10
+
+// memoryMonitor compares all that a platform may count with the memory limit, while the process runs.
+type memoryMonitor struct {
+	memory.Monitor
+	node        *Node
+	nextCheck   *timer.Timer // nil if the memory of the process is not limited
+	nextLog     balance.Millis
+	loggedLevel memory.Level
+	fileBytes   int // size of the files of a hot restart
+}
+
+// start begins to compare, if the memory of the process is limited.
+func (m *memoryMonitor) start() {
+	if m.node.processMemory != nil {
+		m.check()
+	}
+}
+
+// stop ends the comparisons.
+func (m *memoryMonitor) stop() {
+	m.node.loop.Timers.Stop(m.nextCheck)
+}
+
+// check compares once, and sets the timer of the next comparison.
+func (m *memoryMonitor) check() {
+	if m.Observe(m.current()) {
+		m.logLevel()
+	}
+	m.node.loop.Timers.Stop(m.nextCheck)
+	interval := memoryCheckInterval
+	if m.Level() != memory.Normal {
+		interval = memoryCheckUnderPressure
+	}
+	m.nextCheck = m.node.loop.After(interval, m.check)
+}
+
+// current returns what is in use now.
+func (m *memoryMonitor) current() memory.Usage {
+	n := m.node
+	return memory.Usage{
+		Resident: n.processMemory.Resident(),
+		Sockets:  n.loop.BufferedBytesOfAll() + n.descriptors.InUse()*descriptorKernelBytes,
+		Files:    m.fileBytes,
+	}
+}
+
+// logLevel logs a change of the level, so that the log of a process that is killed tells what its memory was used for. A level that
+// changes often is logged at each new high, and otherwise once in memoryLogInterval.
+func (m *memoryMonitor) logLevel() {
+	level, now := m.Level(), m.node.loop.Now()
+	if now < m.nextLog && level <= m.loggedLevel {
+		return
+	}
+	m.nextLog = now + memoryLogInterval
+	m.loggedLevel = level
+	severity := logrus.WarnLevel
+	if level == memory.Normal {
+		severity = logrus.InfoLevel
+	}
+	m.node.log.WithFields(logrus.Fields{
+		"level":   level.String(),
+		"limit":   m.Limit(),
+		"process": m.Usage().String(),
+		"peers":   m.node.memory.String(),
+	}).Log(severity, "memory level changed")
+}
+
+// registerGauges adds the gauges of the memory of the process, as of the last comparison.
+func (m *memoryMonitor) registerGauges() {
+	gauge := func(name string, value func() int) {
+		m.node.Counters.Gauge(name, func() uint64 { return uint64(max(0, value())) })
+	}
+	gauge("process_memory_bytes", func() int { return m.Usage().Total() })
+	gauge("process_memory_limit_bytes", m.Limit)
+	gauge("process_memory_level", func() int { return int(m.Level()) })
+	gauge("process_resident_bytes", func() int { return m.Usage().Resident })
+	gauge("process_socket_bytes", func() int { return m.Usage().Sockets })
+	gauge("process_file_bytes", func() int { return m.Usage().Files })
+}
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
 	"fmt"
 	"net/netip"
 	"testing"
@@ -33,3 +36,37 @@
 		}
 	})
 }
+
+// fakeMemory is the memory of a process whose size a test sets, in bytes.
+type fakeMemory struct{ resident int }
+
+func (m *fakeMemory) Baseline() int    { return m.resident }
+func (m *fakeMemory) Resident() int    { return m.resident }
+func (*fakeMemory) ReleaseStartPages() {}
+func (*fakeMemory) LimitGrowth(int)    {}
+
+// Guards against a kill without a trace: the log and the gauges tell what the memory of the process was used for.
+func TestMemoryLevelIsReported(t *testing.T) {
+	r := newBalancer(t, endpoint("127.0.0.1:1", "in_service"))
+	process := &fakeMemory{resident: 7 << 20}
+	hook := logtest.NewLocal(r.node.log.Logger)
+	r.Do(func() {
+		r.node.LimitProcessMemory(process)
+		r.start()
+		process.resident = int(r.node.config.Limits.MemoryMB * bytesPerMB)
+		r.node.memoryMonitor.check()
+	})
+	entry := hook.LastEntry()
+	if entry == nil || entry.Data["level"] != "shedding" || entry.Level != logrus.WarnLevel {
+		t.Fatalf("last log line: %v", entry)
+	}
+	r.Do(func() {
+		for gauge, want := range map[string]uint64{"process_resident_bytes": uint64(process.resident), "process_memory_level": 3, "process_file_bytes": 0} {
+			if value, _ := r.node.Counters.Value(gauge); value != want {
+				t.Errorf("%s=%d, want %d", gauge, value, want)
+			}
+		}
+		r.node.Shutdown(r.Loop.Now(), func() {})
+	})
+	r.close()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,7 +56,8 @@
 	processMemory ProcessMemory  // nil if the memory of the process is not limited
 	baseMemory    int            // resident memory of the process before it serves clients, in bytes; 0 if it is not known
 	baseEndpoints int            // number of endpoints that were listed when baseMemory was measured
-	nextMemoryLog balance.Millis // earliest time of the next log line about the memory
+	nextMemoryLog balance.Millis // earliest time of the next log line about the memory for peers
+	memoryMonitor memoryMonitor
 
 	listening    bool // whether the balancer listens for clients
 	shuttingDown bool
@@ -77,6 +78,7 @@
 		registry: discovery.NewRegistry(c.Settings.ZoneNames),
 		shares:   limitShares{descriptors: 1, memory: 1},
 	}
+	n.memoryMonitor.node = n
 	l.LimitWait(maxLoopWaitMs)
 	n.Trace = trace.New(log, l.Now, &n.Counters)
 	n.Trace.UpstreamName = n.registry.Name
@@ -165,6 +167,7 @@
 	n.onEndpointUpdate(n.config.CachedEndpoints)
 	n.driver.Start()
 	n.endpoints.Start()
+	n.memoryMonitor.start()
 	if n.peers != nil {
 		n.peers.poll()
 	}
@@ -183,6 +186,7 @@
 	if n.peers != nil {
 		n.peers.close()
 	}
+	n.memoryMonitor.stop()
 	n.server.Close()
 	n.endpoints.Stop()
 	n.pool.Close()
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -82,6 +82,7 @@
 			p.unpublished = true
 		}
 	}
+	p.node.memoryMonitor.fileBytes = peers.FileBytes
 	p.live = peers.Live
 	p.synced = true
 	p.splitResources()
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -104,5 +104,6 @@
 	n.memory.SetLimit(r.accountBytes)
 	if n.processMemory != nil {
 		n.processMemory.LimitGrowth(r.runtimeGrowth)
+		n.memoryMonitor.SetLimit(int(n.shares.memory*n.config.Limits.MemoryMB*bytesPerMB), n.baseMemory)
 	}
 }
--- a/internal/simulation/simnet/kernel.go
+++ b/internal/simulation/simnet/kernel.go
@@ -236,6 +236,9 @@
 	return canWrite
 }
 
+// BufferedBytes returns 0: the simulated kernel has no memory limit.
+func (p *Process) BufferedBytes(int) int { return 0 }
+
 // CloseWrite closes the writing side of a connection.
 func (p *Process) CloseWrite(fd int) { p.socketOf(fd).closeWrite() }
 
