The kernel's buffers for connections are sized by the memory limit and the descriptors

Callers saw resets when the node was killed. Cause: each direction of a connection had 64 KiB in the kernel (doubled by it), whatever the limit; clients that send or read slowly fill them, as the balancer rightly stops reading. 1,024 descriptors may hold 256 MB. Evidence: resident memory and buffers 20.5 MB under 16, 15.5 under 8, 81 under 16 with pipelines; the resident part was below each limit.

Change: a new connection has 2 to 64 KiB, from 0.4 of the room or what the heap can't use; the inherited listener, too. Some connections with long messages have 64 KiB, bounded as well: receive buffers of outgoing connections when they open, send buffers when they are full, taken back when empty. The heap grows by 0.75 of the room in place of 0.9. It works because the sum of all buffers is now bounded by the limit, for any kind of client.

--- a/internal/epoll/inherited.go
+++ b/internal/epoll/inherited.go
@@ -20,6 +20,7 @@
 	}
 	unix.CloseOnExec(fd)
 	k.inheritedListener = fd
+	k.listeners[fd] = struct{}{}
 	err := k.setNonblocking()
 	if err == nil {
 		timeout := inheritedAcceptTimeout
@@ -50,8 +51,7 @@
 	k.setNonblocking()
 	connection, err := Accept(fd)
 	if err == nil {
-		unix.SetsockoptInt(connection, unix.SOL_SOCKET, unix.SO_RCVBUF, clientReceiveBuffer)
-		unix.SetsockoptInt(connection, unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
+		_ = setBufferBytes(connection, k.bufferBytes, k.bufferBytes) // the connection works with buffers of another size
 	}
 	return connection, err
 }
--- a/internal/epoll/kernel.go
+++ b/internal/epoll/kernel.go
@@ -20,11 +20,14 @@
 // listener, if there is one. All other descriptors are owned by its callers. All methods except Now and Wake are called
 // on the loop.
 type Kernel struct {
-	epollFD           int
-	wakeFD            int // an eventfd that ends a wait
-	inheritedListener int // 0 if there is none
-	start             time.Time
-	startUnix         float64 // the Unix time of start, in ms
+	epollFD              int
+	wakeFD               int              // an eventfd that ends a wait
+	inheritedListener    int              // 0 if there is none
+	listeners            map[int]struct{} // descriptors of the sockets that Listen has opened, and of the inherited listener
+	bufferBytes          int              // size of both buffers of an accepted connection, and of the send buffer of an outgoing one
+	outgoingReceiveBytes int              // size of the receive buffer of an outgoing connection
+	start                time.Time
+	startUnix            float64 // the Unix time of start, in ms
 }
 
 // New returns a kernel. The caller has to release it. Its clock starts at the Unix time and then follows the monotonic
@@ -41,6 +44,9 @@
 	}
 	now := time.Now()
 	k := &Kernel{epollFD: epollFD, wakeFD: wakeFD, start: now, startUnix: unixMilliseconds(now)}
+	k.listeners = map[int]struct{}{}
+	k.bufferBytes = DefaultBufferBytes
+	k.outgoingReceiveBytes = DefaultBufferBytes
 	if err := k.Add(wakeFD, loop.Readable, wakeGeneration); err != nil {
 		k.Release()
 		return nil, err
@@ -121,6 +127,7 @@
 		k.Remove(fd)
 		k.inheritedListener = 0
 	}
+	delete(k.listeners, fd)
 	unix.Close(fd)
 }
 
@@ -131,7 +138,26 @@
 }
 
 // Listen returns a listening socket that is bound to an address.
-func (k *Kernel) Listen(address netip.AddrPort) (int, error) { return Listen(address) }
+func (k *Kernel) Listen(address netip.AddrPort) (int, error) {
+	fd, err := listen(address, k.bufferBytes)
+	if err == nil {
+		k.listeners[fd] = struct{}{}
+	}
+	return fd, err
+}
+
+// SetBufferBytes sets the sizes of the kernel's buffers of later connections, in bytes: of both buffers of an accepted one
+// and the send buffer of an outgoing one, and of the receive buffer of an outgoing one.
+func (k *Kernel) SetBufferBytes(base, outgoingReceive int) {
+	k.outgoingReceiveBytes = outgoingReceive
+	if base == k.bufferBytes {
+		return
+	}
+	k.bufferBytes = base
+	for fd := range k.listeners {
+		_ = setBufferBytes(fd, base, base) // connections work with buffers of another size
+	}
+}
 
 // StopQueueing makes a listening socket ignore new connection requests. It has no effect on an inherited listener, on
 // which other processes may accept connections.
@@ -142,7 +168,9 @@
 }
 
 // Connect starts a non-blocking connect.
-func (k *Kernel) Connect(address netip.AddrPort) (int, error) { return Connect(address) }
+func (k *Kernel) Connect(address netip.AddrPort) (int, error) {
+	return connect(address, k.outgoingReceiveBytes, k.bufferBytes)
+}
 
 // SocketError returns the pending error of a socket, or nil if there is none.
 func (k *Kernel) SocketError(fd int) error { return SocketError(fd) }
@@ -162,6 +190,10 @@
 // CanWrite reports whether a third of the kernel's send buffer is free, or the connection is broken.
 func (k *Kernel) CanWrite(fd int) bool { return CanWrite(fd) }
 
+// ResizeSendBuffer changes the size of the kernel's send buffer of a connection, in bytes. It reports whether the kernel has
+// done so.
+func (k *Kernel) ResizeSendBuffer(fd, bytes int) bool { return ResizeSendBuffer(fd, bytes) }
+
 // BufferedBytes returns the memory of the kernel's buffers of a connection in bytes, 0 if the kernel does not tell.
 func (k *Kernel) BufferedBytes(fd int) int { return BufferedBytes(fd) }
 
--- a/internal/epoll/socket.go
+++ b/internal/epoll/socket.go
@@ -16,41 +16,37 @@
 	return &unix.SockaddrInet6{Port: port, Addr: address.Addr().As16()}, unix.AF_INET6
 }
 
-// Sizes of the kernel's buffers for a connection, in bytes. The kernel doubles them for its own use. They limit the
-// memory of connections: without them, the buffers of one connection may grow to several megabytes.
-const (
-	clientReceiveBuffer   = 64 << 10 // holds the largest request that is not streamed
-	upstreamReceiveBuffer = 64 << 10
-	sendBuffer            = 64 << 10
-)
+// DefaultBufferBytes is the size of the kernel's buffers for each direction of a connection, in bytes. The kernel doubles it
+// for its own use. Without a size, the buffers of one connection may grow to several megabytes.
+const DefaultBufferBytes = 64 << 10
 
 const listenBacklog = 4096 // maximum number of established connections that wait to be accepted
 
 const socketType = unix.SOCK_STREAM | unix.SOCK_NONBLOCK | unix.SOCK_CLOEXEC
 
-// Listen returns a listening socket that is bound to an address.
-func Listen(address netip.AddrPort) (int, error) {
+// Listen returns a listening socket that is bound to an address. Its connections have buffers of DefaultBufferBytes.
+func Listen(address netip.AddrPort) (int, error) { return listen(address, DefaultBufferBytes) }
+
+func listen(address netip.AddrPort, bufferBytes int) (int, error) {
 	sockaddr, family := sockaddrOf(address)
 	fd, err := unix.Socket(family, socketType, 0)
 	if err != nil {
 		return -1, fmt.Errorf("listen on %s: create socket: %w", address, err)
 	}
-	if err := setUpListener(fd, sockaddr); err != nil {
+	if err := setUpListener(fd, sockaddr, bufferBytes); err != nil {
 		unix.Close(fd)
 		return -1, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	return fd, nil
 }
 
-func setUpListener(fd int, sockaddr unix.Sockaddr) error {
-	for _, option := range [...]struct{ name, value int }{
-		{unix.SO_REUSEADDR, 1}, // connections of an earlier process may still use the address
-		{unix.SO_RCVBUF, clientReceiveBuffer},
-		{unix.SO_SNDBUF, sendBuffer},
-	} {
-		if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, option.name, option.value); err != nil {
-			return err
-		}
+func setUpListener(fd int, sockaddr unix.Sockaddr, bufferBytes int) error {
+	// Connections of an earlier process may still use the address.
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		return err
+	}
+	if err := setBufferBytes(fd, bufferBytes, bufferBytes); err != nil {
+		return err
 	}
 	if err := unix.Bind(fd, sockaddr); err != nil {
 		return err
@@ -58,6 +54,14 @@
 	return unix.Listen(fd, listenBacklog)
 }
 
+// setBufferBytes sets the sizes of the buffers of a socket, in bytes. Connections that a listening socket accepts later inherit them.
+func setBufferBytes(fd, receive, send int) error {
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receive); err != nil {
+		return err
+	}
+	return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, send)
+}
+
 // StopQueueing makes a listening socket ignore new connection requests, by a filter that drops all packets to it.
 // Clients that connect get no reply until the socket is closed, and are refused then. Established connections are not
 // affected. If the kernel rejects the filter, clients can connect until the socket is closed.
@@ -70,14 +74,17 @@
 // Connect starts a non-blocking connect. Once the socket is writable, the connection is established or has failed;
 // SocketError tells which.
 func Connect(address netip.AddrPort) (int, error) {
+	return connect(address, DefaultBufferBytes, DefaultBufferBytes)
+}
+
+func connect(address netip.AddrPort, receiveBytes, sendBytes int) (int, error) {
 	sockaddr, family := sockaddrOf(address)
 	fd, err := unix.Socket(family, socketType, 0)
 	if err != nil {
 		return -1, err
 	}
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, upstreamReceiveBuffer)
-	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
+	_ = setBufferBytes(fd, receiveBytes, sendBytes) // the connection works with buffers of another size
 	if err := unix.Connect(fd, sockaddr); err != nil && err != unix.EINPROGRESS && err != unix.EINTR {
 		unix.Close(fd)
 		return -1, err
--- a/internal/epoll/socket_memory.go
+++ b/internal/epoll/socket_memory.go
@@ -6,6 +6,11 @@
 	"golang.org/x/sys/unix"
 )
 
+// ResizeSendBuffer changes the size of the kernel's send buffer of a connection, in bytes. It reports whether the kernel has done so.
+func ResizeSendBuffer(fd, bytes int) bool {
+	return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, bytes) == nil
+}
+
 // socketMemory is the memory of a socket as the kernel reports it for the option SO_MEMINFO, in bytes.
 type socketMemory struct {
 	received       uint32 // bytes that wait for this process
--- a/internal/loop/kernel.go
+++ b/internal/loop/kernel.go
@@ -49,6 +49,12 @@
 	CanWrite(fd int) bool
 	// CloseWrite closes the writing side of a connection.
 	CloseWrite(fd int)
+	// SetBufferBytes sets the sizes of the kernel's buffers of later connections, in bytes: of both buffers of an accepted
+	// one and the send buffer of an outgoing one, and of the receive buffer of an outgoing one.
+	SetBufferBytes(base, outgoingReceive int)
+	// ResizeSendBuffer changes the size of the kernel's send buffer of a connection, in bytes. It reports whether the kernel
+	// has a buffer whose size can be changed.
+	ResizeSendBuffer(fd, bytes int) bool
 	// BufferedBytes returns the memory of the kernel's buffers of a connection in bytes, 0 if the kernel does not tell.
 	BufferedBytes(fd int) int
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -32,7 +32,8 @@
 	Timers timer.Heap
 
 	kernel          Kernel
-	watches         []watch          // indexed by descriptor
+	watches         []watch // indexed by descriptor
+	large           largeBuffers
 	unsynced        map[int]struct{} // descriptors that the kernel had no memory to watch, to be retried
 	events          [maxEventsPerTurn]Event
 	lastWaitEnd     float64 // ms, on the kernel's monotonic clock
@@ -56,6 +57,7 @@
 		lastWaitEnd:     now,
 		earliestArrival: now,
 		unsynced:        map[int]struct{}{},
+		large:           largeBuffers{receiving: map[int]struct{}{}},
 		onYield:         func() {},
 	}
 }
--- a/internal/loop/watch.go
+++ b/internal/loop/watch.go
@@ -16,13 +16,14 @@
 
 // watch is the state of one descriptor in the loop.
 type watch struct {
-	handler     Handler // nil if the descriptor is not watched
-	generation  int32   // distinguishes events of a closed descriptor from those of a new one with the same number
-	events      uint32
-	prioritized bool    // its handler runs before those of descriptors that are not prioritized
-	paused      bool    // no events are reported, not even errors
-	registered  bool    // the kernel watches the descriptor
-	unreadSince float64 // ms; the earliest time at which unread bytes may have been received, 0 if all bytes were read
+	handler         Handler // nil if the descriptor is not watched
+	generation      int32   // distinguishes events of a closed descriptor from those of a new one with the same number
+	events          uint32
+	prioritized     bool    // its handler runs before those of descriptors that are not prioritized
+	paused          bool    // no events are reported, not even errors
+	registered      bool    // the kernel watches the descriptor
+	largeSendBuffer bool    // it is one of Loop.large.sending
+	unreadSince     float64 // ms; the earliest time at which unread bytes may have been received, 0 if all bytes were read
 }
 
 // Add starts watching a descriptor for events, which are passed to a handler.
@@ -73,6 +74,7 @@
 // Close closes a descriptor and stops watching it, if it is watched. Events of the descriptor that the current turn has
 // not handled yet are dropped.
 func (l *Loop) Close(fd int) {
+	l.forgetBuffers(fd)
 	if fd < len(l.watches) {
 		w := &l.watches[fd]
 		w.handler = nil
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -3,6 +3,7 @@
 import (
 	"salttrack/internal/bodystream"
 	"salttrack/internal/downstream"
+	"salttrack/internal/loop"
 )
 
 // Division of the configured descriptors and memory between the components.
@@ -19,13 +20,32 @@
 // first. The rest is the room for what peers make the process hold, for garbage, and for what passes the limit of the runtime for a moment.
 const (
 	runtimeReserve = 512 << 10 // bytes of metadata of the Go runtime that garbage collection needs under load
-	runtimeShare   = 0.9       // share of the room by which the memory of the Go runtime may grow
+	runtimeShare   = 0.75      // share of the room by which the memory of the Go runtime may grow
 	accountShare   = 0.35      // share of the room that peers can make the process hold
 	minMemoryRoom  = 512 << 10 // bytes; without any, nothing could be served
 	bufferShare    = 0.25      // share of the account that buffers of streamed bodies may use
 	bytesPerMB     = 1 << 20
 )
 
+// Shares of the room that the kernel's buffers for connections may use. They are not all full at the same time: what is in use is compared
+// with the limit while the process runs.
+const (
+	socketShare       = 0.4  // if one direction of each connection is full
+	largeReceiveShare = 0.25 // if all large receive buffers are full
+	largeSendShare    = 0.1  // if all large send buffers are full
+)
+
+// Sizes of the kernel's buffers for each direction of a connection, in bytes.
+const (
+	minBufferBytes     = 2 << 10  // about the least that the kernel allows
+	largeBufferBytes   = 64 << 10 // with less than two segments in flight, a sender waits for delayed acknowledgements
+	kernelBufferFactor = 2        // the kernel doubles the size for its own use
+)
+
+// connectionHeapBytes is about the most that a connection makes the heap hold, in bytes: a buffered body. What the heap can't use for lack of
+// connections is for the kernel's buffers.
+const connectionHeapBytes = 64 << 10
+
 // Divisors of the configured number of descriptors.
 // Each quotient is an upper limit: one for the overflow connections, and one for the descriptors of the admin server.
 const (
@@ -57,6 +77,7 @@
 	bodyBuffers         int // buffers of streamed bodies
 	accountBytes        int // memory that peers can make the process hold
 	runtimeGrowth       int // bytes by which the memory of the Go runtime may grow after the start
+	buffers             loop.BufferSizes
 }
 
 // maxAdminConnections returns the maximum number of connections of the admin server. One descriptor is for its listening socket.
@@ -79,9 +100,24 @@
 	}
 	r.connections = descriptors - internalDescriptors - r.overflowConnections - r.adminDescriptors
 	r.limitByMemory()
+	r.limitBuffers(room)
 	return r
 }
 
+// limitBuffers sets the sizes of the kernel's buffers, of which one direction of a connection is full at a time.
+func (r *resources) limitBuffers(room float64) {
+	usable := room / kernelBufferFactor
+	connections := float64(r.connections + r.overflowConnections)
+	spare := room - connections*connectionHeapBytes
+	base := int(max(socketShare*room, spare) / kernelBufferFactor / connections)
+	r.buffers = loop.BufferSizes{
+		Base:            min(max(base, minBufferBytes), largeBufferBytes),
+		Large:           largeBufferBytes,
+		MaxLargeReceive: int(largeReceiveShare * usable / largeBufferBytes),
+		MaxLargeSend:    int(largeSendShare * usable / largeBufferBytes),
+	}
+}
+
 // limitByMemory lowers the number of connections to what the account has memory for. Some of the descriptors that are free then are
 // for more overflow connections, so that clients whose requests are rejected for lack of memory need not wait.
 func (r *resources) limitByMemory() {
@@ -102,6 +138,7 @@
 	n.descriptors.SetLimit(r.connections)
 	n.bodyBuffers.SetLimit(r.bodyBuffers)
 	n.memory.SetLimit(r.accountBytes)
+	n.loop.SetBufferSizes(r.buffers)
 	if n.processMemory != nil {
 		n.processMemory.LimitGrowth(r.runtimeGrowth)
 		n.memoryMonitor.SetLimit(int(n.shares.memory*n.config.Limits.MemoryMB*bytesPerMB), n.baseMemory)
--- a/internal/simulation/simnet/kernel.go
+++ b/internal/simulation/simnet/kernel.go
@@ -236,6 +236,12 @@
 	return canWrite
 }
 
+// SetBufferBytes has no effect: the windows of simulated connections are those of the network.
+func (p *Process) SetBufferBytes(int, int) {}
+
+// ResizeSendBuffer has no effect, and returns false.
+func (p *Process) ResizeSendBuffer(int, int) bool { return false }
+
 // BufferedBytes returns 0: the simulated kernel has no memory limit.
 func (p *Process) BufferedBytes(int) int { return 0 }
 
