All that a platform counts limits the process: costly work, requests, slow clients go first

Callers saw resets when the node was killed.

Change: the level of the memory monitor acts. From 0.6 of the room the shares of the account apply to the process, too, and no more connections get large kernel buffers; above 0.9 requests are rejected and incomplete ones end; above 0.95 connections of slow clients are closed. Garbage goes back to the system in each of these levels. It works whatever uses the memory, as the sum itself is watched, every 25 ms.

A library that takes 16 MB at once is still over the limit for a moment: no program can prevent that.

--- a/cmd/salttrack/process_memory.go
+++ b/cmd/salttrack/process_memory.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"sync/atomic"
 
 	"golang.org/x/sys/unix"
 )
@@ -15,6 +16,8 @@
 	mapped int       // bytes that counted for the soft limit of the Go runtime at the last call of Baseline
 	statm  int       // descriptor of /proc/self/statm, -1 if the kernel does not tell
 	text   [256]byte // content of that file
+
+	releasing atomic.Bool // ReleaseGarbage is at work
 }
 
 // newProcessMemory returns the memory of this process.
@@ -51,6 +54,17 @@
 	return pages * os.Getpagesize()
 }
 
+// ReleaseGarbage collects garbage and returns its memory to the operating system, on another goroutine than that of the event loop.
+func (m *processMemory) ReleaseGarbage() {
+	if m.releasing.Swap(true) {
+		return
+	}
+	go func() {
+		debug.FreeOSMemory()
+		m.releasing.Store(false)
+	}()
+}
+
 // ReleaseStartPages unmaps pages that the start of the program has used.
 func (m *processMemory) ReleaseStartPages() { releaseLibraryPages() }
 
--- a/internal/downstream/counters.go
+++ b/internal/downstream/counters.go
@@ -34,6 +34,7 @@
 	connectionsShed           *counter.Counter         // idle connections that were closed to free a descriptor
 	overflowRejected          *counter.Counter         // requests that were rejected on overflow connections
 	memoryRejected            *counter.Counter         // requests that were rejected for lack of memory
+	memoryClosed              *counter.Counter         // connections that were closed for lack of memory
 	shutdownRejected          *counter.Counter         // complete requests that were rejected because of a shutdown
 	acceptPauses              *counter.Counter         // calls of pauseAccepting
 	connectionsBroken         *counter.Counter         // connections that failed, whose client did not read in time, or whose response was truncated
@@ -55,6 +56,7 @@
 		connectionsShed:           set.New("client_connections_shed"),
 		overflowRejected:          set.New("client_overflow_rejected"),
 		memoryRejected:            set.New("client_memory_rejected"),
+		memoryClosed:              set.New("client_memory_closed"),
 		shutdownRejected:          set.New("client_shutdown_rejected"),
 		acceptPauses:              set.New("client_accept_pauses"),
 		connectionsBroken:         set.New("client_connections_broken"),
--- a/internal/downstream/memory_test.go
+++ b/internal/downstream/memory_test.go
@@ -1,7 +1,9 @@
 package downstream
 
 import (
+	"strings"
 	"testing"
+	"time"
 
 	"salttrack/internal/memory"
 )
@@ -28,3 +30,49 @@
 		t.Errorf("%d requests were rejected for lack of memory, want 1", n)
 	}
 }
+
+// Guards against connections that are closed for lack of memory although they hold none: incomplete requests end first, then responses that
+// are not read, and idle connections and requests in progress stay.
+func TestSlowClientsAreClosedWithoutMemory(t *testing.T) {
+	s := newTestServer(t, 8, 2)
+	account := memory.NewAccount(64 << 20)
+	s.Do(func() { s.server.Memory = account })
+	incomplete, unread, idle := s.connect(), s.connect(), s.connect()
+	unread.send(getRequest("unread"))
+	s.serve(s.nextExchange(), strings.Repeat("a", 8<<20))
+	idle.send(getRequest("idle"))
+	s.serve(s.nextExchange(), "ok")
+	idle.response()
+	incomplete.send("POST /pay/x HTTP/1.1\r\nX-Txn: half\r\n")
+	s.WaitForCounter("client_connections_accepted", 3)
+	open := func() (count int) {
+		s.Do(func() { count = len(s.server.conns) })
+		return count
+	}
+	for open() != 3 || !s.hasIncompleteRequest() {
+		time.Sleep(time.Millisecond)
+	}
+	s.Do(func() { s.server.CloseIncompleteRequests(1 << 30) })
+	if response, _ := incomplete.response(); response.StatusCode != 503 || open() != 2 {
+		t.Errorf("incomplete request: status %d, want 503; %d connections are open, want 2", response.StatusCode, open())
+	}
+	s.Do(func() { s.server.CloseSlowClients(1 << 30) })
+	if n := s.CounterValue("client_memory_closed"); n != 2 || open() != 1 {
+		t.Errorf("%d connections were closed for lack of memory, want 2; %d are open, want 1", n, open())
+	}
+	idle.send(getRequest("again"))
+	s.serve(s.nextExchange(), "ok")
+	if response, _ := idle.response(); response.StatusCode != 200 {
+		t.Errorf("idle connection: status %d, want 200", response.StatusCode)
+	}
+}
+
+// hasIncompleteRequest reports whether a part of a request has been received.
+func (s *testServer) hasIncompleteRequest() (found bool) {
+	s.Do(func() {
+		for c := range s.server.conns {
+			found = found || c.sheddingOrder() == incompleteRequest
+		}
+	})
+	return found
+}
--- a/internal/downstream/reason.go
+++ b/internal/downstream/reason.go
@@ -13,7 +13,7 @@
 	reasonLastResponseSent   trace.Reason = "last response sent"
 	reasonShed               trace.Reason = "shed to free a descriptor"
 	reasonNoDescriptor       trace.Reason = "no descriptor available"
-	reasonNoMemory           trace.Reason = "no memory for the request"
+	reasonNoMemory           trace.Reason = "no memory"
 	reasonShutdownIdle       trace.Reason = "shutdown: idle"
 	reasonShutdownNoRequest  trace.Reason = "shutdown: no request received"
 	reasonShutdownTooLate    trace.Reason = "shutdown: response could be too late"
--- a/internal/downstream/response.go
+++ b/internal/downstream/response.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 
+	"salttrack/balance"
 	"salttrack/internal/http1"
 	"salttrack/internal/invariant"
 	"salttrack/internal/loop"
@@ -12,11 +13,12 @@
 // responseWriter is the state of a connection on which a response with a complete body is being written.
 type responseWriter struct {
 	conn          *conn
-	unsent        []byte // unsent bytes of the response, or of the head of a streamed response
-	inWriteBuffer bool   // they are in the server's write buffer, which the next response overwrites
-	size          int    // bytes of memory that they keep in use, counted in the account
-	closeAfter    bool   // the connection ends after the current response
-	writing       bool   // a call of write is running
+	unsent        []byte         // unsent bytes of the response, or of the head of a streamed response
+	inWriteBuffer bool           // they are in the server's write buffer, which the next response overwrites
+	size          int            // bytes of memory that they keep in use, counted in the account
+	blockedSince  balance.Millis // time at which the kernel accepted no more bytes, 0 if it has accepted some since
+	closeAfter    bool           // the connection ends after the current response
+	writing       bool           // a call of write is running
 }
 
 // respond starts to write a response with a complete body.
@@ -160,6 +162,7 @@
 		return
 	}
 	w.setUnsent(nil)
+	w.blockedSince = 0
 	c.responded = true
 	if w.closeAfter {
 		c.linger.start()
@@ -217,6 +220,9 @@
 // advance records that the first n bytes of the slice that next returned have been written.
 func (w *responseWriter) advance(n int) {
 	stream := &w.conn.responseStream
+	if n > 0 {
+		w.blockedSince = 0
+	}
 	if len(w.unsent) > 0 {
 		w.unsent = w.unsent[n:]
 		if 0 < len(w.unsent) && len(w.unsent) <= n { // a client that reads slowly must not keep the memory of the sent part in use
@@ -232,6 +238,9 @@
 
 // watchWritable watches the descriptor until the kernel accepts more bytes.
 func (w *responseWriter) watchWritable() {
+	if w.blockedSince == 0 {
+		w.blockedSince = w.conn.server.Loop.Now()
+	}
 	events := uint32(loop.Writable)
 	if w.conn.responseStream.active() {
 		events |= loop.HangUp
--- a/internal/loop/buffers.go
+++ b/internal/loop/buffers.go
@@ -53,7 +53,7 @@
 	if sizes.Base >= sizes.Large || fd >= len(l.watches) || l.watches[fd].handler == nil || l.watches[fd].largeSendBuffer {
 		return false
 	}
-	if len(l.large.sending) >= sizes.MaxLargeSend && !l.reclaimSendBuffer() {
+	if sizes.MaxLargeSend == 0 || len(l.large.sending) >= sizes.MaxLargeSend && !l.reclaimSendBuffer() {
 		return false
 	}
 	if !l.ResizeSendBuffer(fd, sizes.Large) {
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -55,10 +55,11 @@
 // Account counts the memory of all kinds against one limit. Its methods accept a nil receiver, which stands for no limit.
 // It is not safe for concurrent use: it belongs to one event loop.
 type Account struct {
-	limit  int // bytes
-	total  int // bytes
-	used   [kinds]int
-	onFull func() // called when the total passes the limit; may be nil
+	limit    int // bytes
+	total    int // bytes
+	used     [kinds]int
+	onFull   func()  // called when the total passes the limit; may be nil
+	pressure float64 // from other memory of the process, on the scale of the shares
 }
 
 // NewAccount returns an account with a limit in bytes.
@@ -97,10 +98,15 @@
 // Used returns the memory of a kind, in bytes.
 func (a *Account) Used(kind Kind) int { return a.used[kind] }
 
+// SetPressure sets how much of the memory of the whole process is in use, as Monitor.Pressure tells it. Kinds are refused when the account
+// or the process has used up their share.
+func (a *Account) SetPressure(pressure float64) { a.pressure = pressure }
+
+// usedShare returns the share of the limit that is in use, or that of the whole process if it is larger.
+func (a *Account) usedShare() float64 { return max(float64(a.total)/float64(a.limit), a.pressure) }
+
 // Full reports whether so much memory is in use that memory of a kind should not be extended.
-func (a *Account) Full(kind Kind) bool {
-	return a != nil && float64(a.total) > shares[kind]*float64(a.limit)
-}
+func (a *Account) Full(kind Kind) bool { return a != nil && a.usedShare() > shares[kind] }
 
 // lowestWeightShare is the share of the limit above which requests with the lowest priority weight are rejected.
 const lowestWeightShare = 0.875
@@ -111,8 +117,7 @@
 	if a == nil {
 		return true
 	}
-	share := lowestWeightShare + (shares[Requests]-lowestWeightShare)*weight
-	return float64(a.total) <= share*float64(a.limit)
+	return a.usedShare() <= lowestWeightShare+(shares[Requests]-lowestWeightShare)*weight
 }
 
 // Kinds returns all kinds.
--- a/internal/memory/monitor.go
+++ b/internal/memory/monitor.go
@@ -7,8 +7,8 @@
 const (
 	Normal      Level = iota // nothing is refused because of the process
 	Constrained              // what takes much memory is refused
-	Rejecting                // all requests are rejected
-	Shedding                 // connections are closed
+	Rejecting                // all requests are rejected, and incomplete ones are ended
+	Shedding                 // connections of slow clients are closed
 )
 
 var levelNames = [...]string{Normal: "normal", Constrained: "constrained", Rejecting: "rejecting", Shedding: "shedding"}
@@ -18,9 +18,9 @@
 
 // Shares of the room, which is the difference between the limit and the memory that the process needs before it serves.
 const (
-	pressureStart = 0.5  // share in use from which the pressure rises
-	pressureFull  = 0.85 // share in use at which the pressure is 1
-	sheddingStart = 0.92 // share in use above which connections are closed
+	pressureStart = 0.6  // share in use from which the pressure rises
+	pressureFull  = 0.9  // share in use at which the pressure is 1
+	sheddingStart = 0.95 // share in use above which connections of slow clients are closed
 )
 
 // Monitor compares all that a platform may count with the memory limit of the process. It is not safe for concurrent use.
@@ -78,7 +78,7 @@
 	return Normal
 }
 
-// Excess returns the number of bytes to be freed so that no connection needs to be closed, 0 if none.
+// Excess returns the number of bytes to be freed so that requests need not be rejected, 0 if none.
 func (m *Monitor) Excess() int {
-	return max(0, int((m.usedShare()-sheddingStart)*m.room()))
+	return max(0, int((m.usedShare()-pressureFull)*m.room()))
 }
--- a/internal/node/memory_monitor.go
+++ b/internal/node/memory_monitor.go
@@ -14,14 +14,18 @@
 	memoryCheckUnderPressure balance.Millis = 25 // at any level but normal
 )
 
+// releaseIntervals are the shortest times in ms between two calls of ProcessMemory.ReleaseGarbage, by level.
+var releaseIntervals = map[memory.Level]balance.Millis{memory.Constrained: 1000, memory.Rejecting: 250, memory.Shedding: 50}
+
 // descriptorKernelBytes is about the memory of the kernel for a connection beside its buffers, in bytes: its file, inode and watch.
-const descriptorKernelBytes = 2 << 10
+const descriptorKernelBytes = 3 << 9
 
 // memoryMonitor compares all that a platform may count with the memory limit, while the process runs.
 type memoryMonitor struct {
 	memory.Monitor
 	node        *Node
-	nextCheck   *timer.Timer // nil if the memory of the process is not limited
+	nextCheck   *timer.Timer   // nil if the memory of the process is not limited
+	lastRelease balance.Millis // time of the last call of ReleaseGarbage
 	nextLog     balance.Millis
 	loggedLevel memory.Level
 	fileBytes   int // size of the files of a hot restart
@@ -39,10 +43,20 @@
 	m.node.loop.Timers.Stop(m.nextCheck)
 }
 
-// check compares once, and sets the timer of the next comparison.
+// check compares once, acts on the result, and sets the timer of the next comparison.
 func (m *memoryMonitor) check() {
-	if m.Observe(m.current()) {
+	changed := m.Observe(m.current())
+	m.node.memory.SetPressure(m.Pressure())
+	if changed {
 		m.logLevel()
+		m.node.limitBuffers()
+	}
+	m.releaseGarbage()
+	switch m.Level() {
+	case memory.Rejecting:
+		m.node.server.CloseIncompleteRequests(m.Excess())
+	case memory.Shedding:
+		m.node.server.CloseSlowClients(m.Excess())
 	}
 	m.node.loop.Timers.Stop(m.nextCheck)
 	interval := memoryCheckInterval
@@ -52,6 +66,15 @@
 	m.nextCheck = m.node.loop.After(interval, m.check)
 }
 
+// releaseGarbage makes the process return garbage to the operating system, unless memory is not constrained or it did so just before.
+func (m *memoryMonitor) releaseGarbage() {
+	interval, constrained := releaseIntervals[m.Level()]
+	if now := m.node.loop.Now(); constrained && now-m.lastRelease >= interval {
+		m.lastRelease = now
+		m.node.processMemory.ReleaseGarbage()
+	}
+}
+
 // current returns what is in use now.
 func (m *memoryMonitor) current() memory.Usage {
 	n := m.node
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -43,6 +43,7 @@
 func (m *fakeMemory) Baseline() int    { return m.resident }
 func (m *fakeMemory) Resident() int    { return m.resident }
 func (*fakeMemory) ReleaseStartPages() {}
+func (*fakeMemory) ReleaseGarbage()    {}
 func (*fakeMemory) LimitGrowth(int)    {}
 
 // Guards against a kill without a trace: the log and the gauges tell what the memory of the process was used for.
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -4,6 +4,7 @@
 	"salttrack/internal/bodystream"
 	"salttrack/internal/downstream"
 	"salttrack/internal/loop"
+	"salttrack/internal/memory"
 )
 
 // Division of the configured descriptors and memory between the components.
@@ -138,9 +139,20 @@
 	n.descriptors.SetLimit(r.connections)
 	n.bodyBuffers.SetLimit(r.bodyBuffers)
 	n.memory.SetLimit(r.accountBytes)
-	n.loop.SetBufferSizes(r.buffers)
+	n.buffers = r.buffers
+	n.limitBuffers()
 	if n.processMemory != nil {
 		n.processMemory.LimitGrowth(r.runtimeGrowth)
 		n.memoryMonitor.SetLimit(int(n.shares.memory*n.config.Limits.MemoryMB*bytesPerMB), n.baseMemory)
 	}
 }
+
+// limitBuffers sets the sizes of the kernel's buffers. While memory is constrained, no more connections get large ones.
+func (n *Node) limitBuffers() {
+	sizes := n.buffers
+	if n.memoryMonitor.Level() != memory.Normal {
+		sizes.MaxLargeReceive = 0
+		sizes.MaxLargeSend = 0
+	}
+	n.loop.SetBufferSizes(sizes)
+}
