--- a/cmd/salttrack/limits.go
+++ b/cmd/salttrack/limits.go
@@ -12,7 +12,8 @@
 // It lowers the configured number of descriptors to the limit of the kernel.
 func applyLimits(c *node.Config) {
 	runtime.GOMAXPROCS(max(1, int(c.Limits.Cores)))
-	_ = unix.Prctl(unix.PR_SET_THP_DISABLE, 1, 0, 0, 0) // a huge page is resident as a whole when one byte of it is used
+	// A huge page is resident as a whole when one byte of it is used. With cgo, they were refused before.
+	_ = unix.Prctl(unix.PR_SET_THP_DISABLE, 1, 0, 0, 0)
 	var descriptors unix.Rlimit
 	if unix.Getrlimit(unix.RLIMIT_NOFILE, &descriptors) == nil {
 		c.Limits.LimitDescriptors(descriptors.Cur)
