--- a/internal/downstream/memory_test.go
+++ b/internal/downstream/memory_test.go
@@ -45,11 +45,7 @@
 	idle.response()
 	incomplete.send("POST /pay/x HTTP/1.1\r\nX-Txn: half\r\n")
 	s.WaitForCounter("client_connections_accepted", 3)
-	open := func() (count int) {
-		s.Do(func() { count = len(s.server.conns) })
-		return count
-	}
-	for open() != 3 || !s.hasIncompleteRequest() {
+	for s.openConnections() != 3 || !s.hasIncompleteRequest() {
 		time.Sleep(time.Millisecond)
 	}
 	s.Do(func() { s.server.RejectIncompleteRequests(1 << 30) })
@@ -57,7 +53,7 @@
 		t.Errorf("incomplete request: status %d, want 503", response.StatusCode)
 	}
 	incomplete.Close()
-	for open() != 2 {
+	for s.openConnections() != 2 {
 		time.Sleep(time.Millisecond)
 	}
 	s.Do(func() {
@@ -72,8 +68,8 @@
 		}
 		s.server.CloseSlowClients(1 << 30)
 	})
-	if n := s.CounterValue("client_memory_closed"); n != 2 || open() != 1 {
-		t.Errorf("%d connections were closed for lack of memory, want 2; %d are open, want 1", n, open())
+	if n := s.CounterValue("client_memory_closed"); n != 2 || s.openConnections() != 1 {
+		t.Errorf("%d connections were closed for lack of memory, want 2; %d are open, want 1", n, s.openConnections())
 	}
 	idle.send(getRequest("again"))
 	s.serve(s.nextExchange(), "ok")
@@ -82,6 +78,12 @@
 	}
 }
 
+// openConnections returns the number of open connections.
+func (s *testServer) openConnections() (count int) {
+	s.Do(func() { count = len(s.server.conns) })
+	return count
+}
+
 // hasIncompleteRequest reports whether a part of a request has been received.
 func (s *testServer) hasIncompleteRequest() (found bool) {
 	s.Do(func() {
