Only clients that have read nothing for 2 s lose a response under memory pressure

Change: the time counts since the client last read. Writes come in parts of which two fit into the send buffer: a peer that gets one segment at a time delays its acknowledgements.

--- a/internal/downstream/memory_shedding.go
+++ b/internal/downstream/memory_shedding.go
@@ -8,8 +8,9 @@
 	"salttrack/internal/http1"
 )
 
-// minWaitTime is how long, in ms, a response has to have waited for its client in all before the connection may be closed for lack of memory.
-const minWaitTime balance.Millis = 2000
+// minUnreadTime is how long, in ms, a client has to have read nothing of its response before the connection may be closed for lack of
+// memory.
+const minUnreadTime balance.Millis = 2000
 
 // maxClosedForMemory is the largest number of connections that one call closes or rejects requests of. What their upstreams hold for them is free only later, so the
 // caller has to compare again.
@@ -20,7 +21,7 @@
 
 const (
 	incompleteRequest sheddingOrder = iota // rejected; it was not forwarded as a whole
-	slowResponse                           // it has waited for its client for minWaitTime
+	unreadResponse                         // the client has read nothing for minUnreadTime
 	notShed
 )
 
@@ -28,9 +29,9 @@
 // whose clients have sent nothing for the longest time.
 func (s *Server) RejectIncompleteRequests(bytes int) { s.closeForMemory(bytes, incompleteRequest) }
 
-// CloseSlowClients rejects requests like RejectIncompleteRequests, and then closes the connections whose responses have waited for their
-// clients for the longest time.
-func (s *Server) CloseSlowClients(bytes int) { s.closeForMemory(bytes, slowResponse) }
+// CloseStalledClients rejects requests like RejectIncompleteRequests, and then closes the connections whose clients have read nothing of
+// their responses for the longest time.
+func (s *Server) CloseStalledClients(bytes int) { s.closeForMemory(bytes, unreadResponse) }
 
 func (s *Server) closeForMemory(bytes int, last sheddingOrder) {
 	closable := s.closableForMemory(last)
@@ -63,7 +64,7 @@
 	slices.SortFunc(closable, func(a, b *conn) int {
 		return cmp.Or(
 			cmp.Compare(a.sheddingOrder(), b.sheddingOrder()),
-			cmp.Compare(b.slowness(), a.slowness()),
+			cmp.Compare(a.inactiveSince(), b.inactiveSince()),
 			cmp.Compare(a.fd, b.fd))
 	})
 	return closable
@@ -71,21 +72,22 @@
 
 // sheddingOrder returns when the connection is closed for lack of memory.
 func (c *conn) sheddingOrder() sheddingOrder {
+	blockedSince := c.writer.blockedSince
 	switch {
 	case c.requestStream.active(), c.reader.listElement != nil && c.reader.decoder.Started():
 		return incompleteRequest
-	case c.writer.waited() >= minWaitTime:
-		return slowResponse
+	case blockedSince != 0 && c.server.Loop.Now()-blockedSince >= minUnreadTime:
+		return unreadResponse
 	}
 	return notShed
 }
 
-// slowness returns how long the response has waited for the client, or for how long the client has sent nothing of its request.
-func (c *conn) slowness() balance.Millis {
-	if c.sheddingOrder() == slowResponse {
-		return c.writer.waited()
+// inactiveSince returns the time at which the client last read something of its response, or sent something of its request.
+func (c *conn) inactiveSince() balance.Millis {
+	if c.writer.blockedSince != 0 {
+		return c.writer.blockedSince
 	}
-	return c.server.Loop.Now() - c.reader.lastActivity
+	return c.reader.lastActivity
 }
 
 // rejectIncompleteForMemory rejects the incomplete request of the connection, which ends once the client has the response: the client may have
--- a/internal/downstream/memory_test.go
+++ b/internal/downstream/memory_test.go
@@ -57,16 +57,16 @@
 		time.Sleep(time.Millisecond)
 	}
 	s.Do(func() {
-		s.server.CloseSlowClients(1 << 30)
+		s.server.CloseStalledClients(1 << 30)
 		if len(s.server.conns) != 2 {
 			t.Error("a client that has not read for a moment was closed")
 		}
 		for c := range s.server.conns {
 			if c.writer.blockedSince != 0 {
-				c.writer.blockedTime = minWaitTime
+				c.writer.blockedSince -= minUnreadTime
 			}
 		}
-		s.server.CloseSlowClients(1 << 30)
+		s.server.CloseStalledClients(1 << 30)
 	})
 	if n := s.CounterValue("client_memory_closed"); n != 2 || s.openConnections() != 1 {
 		t.Errorf("%d connections were closed for lack of memory, want 2; %d are open, want 1", n, s.openConnections())
--- a/internal/downstream/response.go
+++ b/internal/downstream/response.go
@@ -17,7 +17,6 @@
 	inWriteBuffer bool           // they are in the server's write buffer, which the next response overwrites
 	size          int            // bytes of memory that they keep in use, counted in the account
 	blockedSince  balance.Millis // time at which the kernel accepted no more bytes, 0 if it has accepted some since
-	blockedTime   balance.Millis // time for which the response has waited for the client before blockedSince
 	closeAfter    bool           // the connection ends after the current response
 	writing       bool           // a call of write is running
 }
@@ -163,8 +162,7 @@
 		return
 	}
 	w.setUnsent(nil)
-	w.unblock()
-	w.blockedTime = 0
+	w.blockedSince = 0
 	c.responded = true
 	if w.closeAfter {
 		c.linger.start()
@@ -223,7 +221,7 @@
 func (w *responseWriter) advance(n int) {
 	stream := &w.conn.responseStream
 	if n > 0 {
-		w.unblock()
+		w.blockedSince = 0
 	}
 	if len(w.unsent) > 0 {
 		w.unsent = w.unsent[n:]
@@ -238,22 +236,6 @@
 	}
 }
 
-// unblock records that the kernel accepts bytes of the response again.
-func (w *responseWriter) unblock() {
-	if w.blockedSince != 0 {
-		w.blockedTime += w.conn.server.Loop.Now() - w.blockedSince
-		w.blockedSince = 0
-	}
-}
-
-// waited returns how long the response has waited for the client in all.
-func (w *responseWriter) waited() balance.Millis {
-	if w.blockedSince == 0 {
-		return w.blockedTime
-	}
-	return w.blockedTime + w.conn.server.Loop.Now() - w.blockedSince
-}
-
 // watchWritable watches the descriptor until the kernel accepts more bytes.
 func (w *responseWriter) watchWritable() {
 	if w.blockedSince == 0 {
--- a/internal/downstream/response_stream.go
+++ b/internal/downstream/response_stream.go
@@ -95,7 +95,7 @@
 		c.fail(reasonResponseTruncated)
 	case c.server.Loop.CanWrite(c.fd):
 		c.server.Loop.Watch(c.fd, loop.HangUp)
-		c.writer.unblock()
+		c.writer.blockedSince = 0
 		s.unblock()
 	default:
 		c.writer.watchWritable()
--- a/internal/loop/io.go
+++ b/internal/loop/io.go
@@ -1,6 +1,10 @@
 package loop
 
-import "golang.org/x/sys/unix"
+import (
+	"math"
+
+	"golang.org/x/sys/unix"
+)
 
 // maxAcceptRetries is the maximum number of consecutive failures that one call of Accept ignores.
 const maxAcceptRetries = 16
@@ -34,14 +38,37 @@
 // Write writes as many bytes as fit into the kernel's send buffer, as Sockets.Write does. A transient failure is
 // treated like a full buffer: Write returns zero bytes without an error. If the buffer is full, it is made larger if possible.
 func (l *Loop) Write(fd int, p []byte) (int, error) {
-	n, err := l.writeOnce(fd, p)
+	n, err := l.writeParts(fd, p)
 	if err == nil && n < len(p) && l.enlargeSendBuffer(fd) {
-		more, err := l.writeOnce(fd, p[n:])
+		more, err := l.writeParts(fd, p[n:])
 		return n + more, err
 	}
 	return n, err
 }
 
+// writeParts writes parts of which two fit into the send buffer. A peer that gets one segment at a time delays its acknowledgements.
+func (l *Loop) writeParts(fd int, p []byte) (written int, err error) {
+	part := l.writePart(fd)
+	for written < len(p) {
+		size := min(part, len(p)-written)
+		n, err := l.writeOnce(fd, p[written:written+size])
+		written += n
+		if err != nil || n < size {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// writePart returns the size of the parts that are written to a connection, in bytes.
+func (l *Loop) writePart(fd int) int {
+	sizes := l.large.sizes
+	if sizes.Base == 0 || fd < len(l.watches) && l.watches[fd].largeSendBuffer {
+		return math.MaxInt
+	}
+	return sizes.Base
+}
+
 // CanWrite reports whether the kernel's send buffer has as much space as the event Writable means, as Sockets.CanWrite does. If the
 // buffer is full, it is made larger if possible.
 func (l *Loop) CanWrite(fd int) bool {
--- a/internal/memory/monitor.go
+++ b/internal/memory/monitor.go
@@ -8,7 +8,7 @@
 	Normal      Level = iota // nothing is refused because of the process
 	Constrained              // what takes much memory is refused
 	Rejecting                // all requests are rejected, and incomplete ones are ended
-	Shedding                 // connections of clients that read slowly are closed
+	Shedding                 // connections of clients that do not read are closed
 )
 
 var levelNames = [...]string{Normal: "normal", Constrained: "constrained", Rejecting: "rejecting", Shedding: "shedding"}
@@ -20,7 +20,7 @@
 const (
 	pressureStart = 0.55 // share in use from which the pressure rises
 	pressureFull  = 0.85 // share in use at which the pressure is 1
-	sheddingStart = 0.9  // share in use above which connections of clients that read slowly are closed
+	sheddingStart = 0.9  // share in use above which connections of clients that do not read are closed
 )
 
 // Monitor compares all that a platform may count with the memory limit of the process. It is not safe for concurrent use.
--- a/internal/node/memory_monitor.go
+++ b/internal/node/memory_monitor.go
@@ -65,7 +65,7 @@
 	case memory.Rejecting:
 		m.node.server.RejectIncompleteRequests(m.Excess())
 	case memory.Shedding:
-		m.node.server.CloseSlowClients(m.Excess())
+		m.node.server.CloseStalledClients(m.Excess())
 	}
 	m.node.loop.Timers.Stop(m.nextCheck)
 	interval := memoryCheckInterval
