Receive buffers of connections to upstreams have 16 KiB at least

Callers saw long responses cut off at the end of a shutdown, beside a crowd under 16 MB. Cause: a turn of the event loop reads no more than a full receive buffer, 2 KiB there, so 200 KB took over a second beside 900 clients.

Change: outgoing connections have a receive buffer of 16 KiB or more. It works because a response of 200 KB then needs an eighth of the turns; the sum stays watched.

--- a/internal/loop/buffers.go
+++ b/internal/loop/buffers.go
@@ -12,6 +12,7 @@
 // the kernel.
 type BufferSizes struct {
 	Base            int // of a connection
+	OutgoingReceive int // the receive buffer of an outgoing connection
 	Large           int // the receive buffer of some outgoing connections, and the send buffer of some that send long messages
 	MaxLargeReceive int // largest number of large receive buffers
 	MaxLargeSend    int // largest number of large send buffers
@@ -27,19 +28,19 @@
 // SetBufferSizes sets the sizes of the kernel's buffers of connections that are opened or accepted from now on.
 func (l *Loop) SetBufferSizes(sizes BufferSizes) {
 	l.large.sizes = sizes
-	l.SetBufferBytes(sizes.Base, sizes.Base)
+	l.SetBufferBytes(sizes.Base, sizes.OutgoingReceive)
 }
 
 // Connect starts a non-blocking connect, as Sockets.Connect does. The connection gets a large receive buffer if there are not too many.
 // The size of a receive buffer has to be known before the connection is opened: if it grows later, the kernel drops segments.
 func (l *Loop) Connect(address netip.AddrPort) (int, error) {
 	sizes := l.large.sizes
-	if sizes.Base >= sizes.Large || len(l.large.receiving) >= sizes.MaxLargeReceive {
+	if sizes.OutgoingReceive >= sizes.Large || len(l.large.receiving) >= sizes.MaxLargeReceive {
 		return l.Sockets.Connect(address)
 	}
 	l.SetBufferBytes(sizes.Base, sizes.Large)
 	fd, err := l.Sockets.Connect(address)
-	l.SetBufferBytes(sizes.Base, sizes.Base)
+	l.SetBufferBytes(sizes.Base, sizes.OutgoingReceive)
 	if err == nil {
 		l.large.receiving[fd] = struct{}{}
 	}
--- a/internal/loop/buffers_test.go
+++ b/internal/loop/buffers_test.go
@@ -10,7 +10,7 @@
 	"salttrack/internal/loop"
 )
 
-var smallBuffers = loop.BufferSizes{Base: 4 << 10, Large: 64 << 10, MaxLargeReceive: 1, MaxLargeSend: 1}
+var smallBuffers = loop.BufferSizes{Base: 4 << 10, OutgoingReceive: 4 << 10, Large: 64 << 10, MaxLargeReceive: 1, MaxLargeSend: 1}
 
 // connections opens some connections from the loop to a listener of its own, and returns the accepted descriptors and the others.
 func connections(t *testing.T, l *loop.Loop, count int) (accepted, outgoing []int) {
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -38,9 +38,10 @@
 
 // Sizes of the kernel's buffers for each direction of a connection, in bytes.
 const (
-	minBufferBytes     = 2 << 10  // about the least that the kernel allows
-	largeBufferBytes   = 64 << 10 // with less than two segments in flight, a sender waits for delayed acknowledgements
-	kernelBufferFactor = 2        // the kernel doubles the size for its own use
+	minBufferBytes          = 2 << 10  // about the least that the kernel allows
+	minOutgoingReceiveBytes = 16 << 10 // a turn of the event loop reads no more than a full buffer of a response
+	largeBufferBytes        = 64 << 10 // with less than two segments in flight, a sender waits for delayed acknowledgements
+	kernelBufferFactor      = 2        // the kernel doubles the size for its own use
 )
 
 // connectionHeapBytes is about the most that a connection makes the heap hold, in bytes: a buffered body. What the heap can't use for lack of
@@ -111,8 +112,10 @@
 	connections := float64(r.connections + r.overflowConnections)
 	spare := room - connections*connectionHeapBytes
 	base := int(max(socketShare*room, spare) / kernelBufferFactor / connections)
+	base = min(max(base, minBufferBytes), largeBufferBytes)
 	r.buffers = loop.BufferSizes{
-		Base:            min(max(base, minBufferBytes), largeBufferBytes),
+		Base:            base,
+		OutgoingReceive: max(base, minOutgoingReceiveBytes),
 		Large:           largeBufferBytes,
 		MaxLargeReceive: int(largeReceiveShare * usable / largeBufferBytes),
 		MaxLargeSend:    int(largeSendShare * usable / largeBufferBytes),
