--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -39,7 +39,7 @@
 // Sizes of the kernel's buffers for each direction of a connection, in bytes.
 const (
 	minBufferBytes          = 2 << 10  // about the least that the kernel allows
-	minOutgoingReceiveBytes = 16 << 10 // a turn of the event loop reads no more than a full buffer of a response
+	minOutgoingReceiveBytes = 8 << 10  // a turn of the event loop reads no more than a full buffer of a response
 	largeBufferBytes        = 64 << 10 // with less than two segments in flight, a sender waits for delayed acknowledgements
 	kernelBufferFactor      = 2        // the kernel doubles the size for its own use
 )
